--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,275 @@
+//! Client of the platform: transactional table, object store, cloud, VM list, weight store.
+//!
+//! Every call has a deadline. A write whose answer was lost is reported as `Outcome::Unknown`; the
+//! caller reads its rows back before it decides. Only this module knows the platform's protocol.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Largest answer that the client accepts; a configuration of 10,000 resources stays below it.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Holds one row of the table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub key: String,
+    /// Taken from one table-wide counter that grows with each transaction.
+    pub version: u64,
+    pub value: serde_json::Value,
+}
+
+/// Demands that a row has a version, or with `None` that it does not exist.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    pub key: String,
+    pub version: Option<u64>,
+}
+
+/// Writes a row, or with `None` deletes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    pub key: String,
+    pub value: Option<serde_json::Value>,
+}
+
+/// Holds conditions and writes that take effect together or not at all.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    pub conditions: Vec<Condition>,
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Writes a row on condition that it still has the given version.
+    pub fn put(&mut self, key: &str, version: Option<u64>, value: serde_json::Value) {
+        self.conditions.push(Condition { key: key.to_owned(), version });
+        self.writes.push(Write { key: key.to_owned(), value: Some(value) });
+    }
+}
+
+/// Tells how a transaction ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The writes took effect; all written rows now have this version.
+    Done(u64),
+    /// A condition did not hold; the rows named in failed conditions as they are now.
+    Rejected(Vec<Row>),
+    /// The platform did not run the transaction.
+    NotRun,
+    /// The answer was lost; the writes may have taken effect.
+    Unknown,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Verdict {
+    pub committed: bool,
+    pub version: u64,
+    pub rows: Vec<Row>,
+}
+
+/// Asks for rows by key and by key prefix.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Query {
+    pub keys: Vec<String>,
+    pub prefixes: Vec<String>,
+}
+
+/// Describes a VM as the lagging list of the platform shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    pub id: Arc<str>,
+    pub address: SocketAddr,
+    pub region: Arc<str>,
+    pub failure_domain: Arc<str>,
+    /// Names the pool for endpoint VMs; empty for entry VMs.
+    pub pool: Arc<str>,
+    pub class: Arc<str>,
+    pub reclaimable: bool,
+    /// Set when the VM has got a reclaim notice or is being stopped.
+    pub leaving: bool,
+}
+
+/// Announces that the platform takes a VM back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    pub vm: Arc<str>,
+    /// Time left, in milliseconds, when the platform answered.
+    pub left_ms: u64,
+}
+
+/// Asks for a new VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// Makes the order idempotent.
+    pub operation: Arc<str>,
+    pub failure_domain: Arc<str>,
+    pub pool: Arc<str>,
+    pub class: Arc<str>,
+    pub reclaimable: bool,
+}
+
+/// Tells why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// The call did not take effect.
+    NotRun(String),
+    /// The call may have taken effect.
+    Unknown(String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::NotRun(reason) => write!(f, "platform call not run: {reason}"),
+            Failure::Unknown(reason) => write!(f, "platform call with unknown outcome: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Calls the platform; clones share connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    pub fn new(address: SocketAddr, timeout: Duration) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        let http = legacy::Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(10))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client { address, timeout, http }
+    }
+
+    pub async fn transact(&self, transaction: &Transaction) -> Outcome {
+        match self.call::<Verdict>(Method::POST, "/table/transact", encode(transaction)).await {
+            Ok(verdict) if verdict.committed => Outcome::Done(verdict.version),
+            Ok(verdict) => Outcome::Rejected(verdict.rows),
+            Err(Failure::NotRun(_)) => Outcome::NotRun,
+            Err(Failure::Unknown(_)) => Outcome::Unknown,
+        }
+    }
+
+    pub async fn read(&self, query: &Query) -> Result<BTreeMap<String, Row>, Failure> {
+        let rows: Vec<Row> = self.call(Method::POST, "/table/read", encode(query)).await?;
+        Ok(rows.into_iter().map(|row| (row.key.clone(), row)).collect())
+    }
+
+    pub async fn read_row(&self, key: &str) -> Result<Option<Row>, Failure> {
+        let query = Query { keys: vec![key.to_owned()], prefixes: Vec::new() };
+        Ok(self.read(&query).await?.remove(key))
+    }
+
+    pub async fn put_object(&self, key: &str, body: Bytes) -> Result<(), Failure> {
+        self.send(Method::PUT, &format!("/objects/{key}"), body).await.map(drop)
+    }
+
+    /// Gives `None` when there is no such object.
+    pub async fn get_object(&self, key: &str) -> Result<Option<Bytes>, Failure> {
+        let (status, body) =
+            self.exchange(Method::GET, &format!("/objects/{key}"), Bytes::new()).await?;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            other => Err(Failure::NotRun(format!("status {other}"))),
+        }
+    }
+
+    pub async fn list_objects(&self, prefix: &str) -> Result<Vec<String>, Failure> {
+        self.call(Method::GET, &format!("/objects?prefix={prefix}"), Bytes::new()).await
+    }
+
+    pub async fn vms(&self) -> Result<Vec<Vm>, Failure> {
+        self.call(Method::GET, "/vms", Bytes::new()).await
+    }
+
+    pub async fn notices(&self) -> Result<Vec<Notice>, Failure> {
+        self.call(Method::GET, "/cloud/notices", Bytes::new()).await
+    }
+
+    /// Starts a VM and gives its id; a refused start is `Ok(None)`.
+    pub async fn start(&self, start: &Start) -> Result<Option<Arc<str>>, Failure> {
+        self.call(Method::POST, "/cloud/start", encode(start)).await
+    }
+
+    pub async fn stop(&self, vm: &str) -> Result<(), Failure> {
+        let body = encode(&serde_json::json!({ "vm": vm }));
+        self.send(Method::POST, "/cloud/stop", body).await.map(drop)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, Failure> {
+        let body = self.send(method, path, body).await?;
+        serde_json::from_slice(&body).map_err(|error| Failure::Unknown(error.to_string()))
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Failure> {
+        let (status, body) = self.exchange(method, path, body).await?;
+        match status {
+            status if status.is_success() => Ok(body),
+            // The platform answers 503 and 4xx before it runs anything.
+            status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(Failure::NotRun(format!("status {status}")))
+            }
+            status => Err(Failure::Unknown(format!("status {status}"))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Failure::NotRun(error.to_string()))?;
+        let answer = async {
+            let response = self.http.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    Failure::NotRun("connection refused".to_owned())
+                } else {
+                    Failure::Unknown(error.to_string())
+                }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_BYTES).collect().await;
+            let body = body.map_err(|error| Failure::Unknown(error.to_string()))?.to_bytes();
+            Ok((status, body))
+        };
+        match tokio::time::timeout(self.timeout, answer).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Unknown(format!("no answer within {:?}", self.timeout))),
+        }
+    }
+}
+
+fn encode(value: &impl Serialize) -> Bytes {
+    serde_json::to_vec(value).map(Bytes::from).unwrap_or_default()
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the engines, services and platform that pomelolink talks to.
