--- /dev/null
+++ b/src/caller/chat.rs
@@ -0,0 +1,180 @@
+//! Chat completions: parsing, acceptance, and the answer as a stream or in one piece.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::Request;
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, Visitor};
+
+use super::{Context, body, event, identify, pump};
+use crate::daemon::Node;
+use crate::error::{Error, Kind, Result};
+use crate::resource::{Protocol, Service};
+use crate::stream::{self, Finish};
+
+/// Names the header by which a caller goes on with a stream whose connection broke.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Holds what the relay itself needs from the body; the engine reads the rest.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Head {
+    pub model: String,
+    pub stream: bool,
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub async fn handle(node: &Arc<Node>, id: Arc<str>, request: Request) -> Result<Response> {
+    let context = identify(node, id, request.headers())?;
+    let (parts, body) = request.into_parts();
+    if let Some(last) = parts.headers.get(LAST_EVENT_ID) {
+        return resume(node, &context, last).await;
+    }
+    let body = body::read(body, &node.settings.limits).await?;
+    let text = std::str::from_utf8(&body)
+        .map_err(|_| Error::new(Kind::BadRequest, "the body is not valid UTF-8"))?;
+    let head = parse(text)?;
+    let service = model_service(&context, &head.model)?;
+    let accepted = accept(node, &context, &parts.headers, &head, service, text)?;
+    if head.stream { answer_stream(accepted, 0).await } else { answer_whole(accepted).await }
+}
+
+/// Reads the fields that the relay needs and checks that the rest is valid JSON.
+pub fn parse(text: &str) -> Result<Head> {
+    serde_json::from_str(text).map_err(|error| {
+        Error::new(Kind::BadRequest, format!("the body is not a chat request: {error}"))
+    })
+}
+
+fn model_service<'a>(context: &'a Context, model: &str) -> Result<&'a Service> {
+    let service =
+        context.catalog.service(model).filter(|service| service.protocol == Protocol::Model);
+    service.ok_or_else(|| Error::new(Kind::NotFound, format!("there is no model \"{model}\"")))
+}
+
+/// Opens the journal entry; from here on the request is accepted.
+fn accept(
+    node: &Arc<Node>,
+    context: &Context,
+    _headers: &HeaderMap,
+    head: &Head,
+    service: &Service,
+    text: &str,
+) -> Result<Arc<stream::Entry>> {
+    let deadline = context.patience.unwrap_or(Duration::from_millis(service.deadline_ms));
+    let request = stream::Request {
+        id: context.id.clone(),
+        workspace: context.workspace.clone(),
+        service: head.model.as_str().into(),
+        body: text.into(),
+        priority: context.priority,
+        deadline_ms: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+        draft: false,
+    };
+    let entry = node.journal.open(request, Vec::new()).ok_or_else(|| {
+        Error::new(Kind::Overloaded, "too many streams are open on this entry VM")
+    })?;
+    tokio::spawn(pump::carry(node.clone(), entry.clone()));
+    Ok(entry)
+}
+
+async fn resume(node: &Arc<Node>, context: &Context, last: &HeaderValue) -> Result<Response> {
+    let parsed = last.to_str().ok().and_then(stream::parse_event_id);
+    let (id, offset) = parsed.ok_or_else(|| {
+        Error::new(Kind::BadRequest, "the Last-Event-ID is not one of this service")
+    })?;
+    let entry = node.journal.get(id).filter(|entry| entry.request.workspace == context.workspace);
+    let entry =
+        entry.ok_or_else(|| Error::new(Kind::StreamGone, "the stream is not known any more"))?;
+    answer_stream(entry, offset).await
+}
+
+/// Waits for the first step, so that a failure before any token is an HTTP error.
+async fn answer_stream(entry: Arc<stream::Entry>, offset: u64) -> Result<Response> {
+    let encoder = event::Encoder::new(entry.request.id.clone(), entry.request.service.clone());
+    let mut reader = entry.reader(offset);
+    let part = reader.next().await;
+    if let Some(Finish::Failed { kind, detail }) = &part.finish
+        && part.tokens.is_empty()
+        && offset == 0
+    {
+        return Err(Error::new(*kind, &**detail));
+    }
+    let first = encoder.encode(offset, &part);
+    let body = event::body(reader, encoder, first, part.finish.is_some());
+    let headers = [
+        (header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream")),
+        (header::CACHE_CONTROL, HeaderValue::from_static("no-cache")),
+    ];
+    Ok((StatusCode::OK, headers, body).into_response())
+}
+
+async fn answer_whole(entry: Arc<stream::Entry>) -> Result<Response> {
+    let reader = entry.reader(0);
+    let finish = entry.wait().await;
+    drop(reader);
+    match finish {
+        Finish::Complete { reason, usage } => {
+            let content = entry.tokens().concat();
+            let (id, model) = (&entry.request.id, &entry.request.service);
+            let body = event::completion(id, model, &content, &reason, &usage);
+            Ok(axum::Json(body).into_response())
+        }
+        Finish::Failed { kind, detail } => Err(Error::new(kind, &*detail)),
+    }
+}
+
+/// Builds the body for an engine: the caller's fields, always as a stream, from an offset on.
+pub fn engine_body(entry: &stream::Entry, tokens: &[Arc<str>]) -> Bytes {
+    let parsed = serde_json::from_str(&entry.request.body);
+    let Ok(serde_json::Value::Object(mut fields)) = parsed else { return Bytes::new() };
+    fields.insert("stream".to_owned(), true.into());
+    fields.insert("priority".to_owned(), entry.request.priority.into());
+    if !tokens.is_empty() {
+        let tokens: Vec<&str> = tokens.iter().map(|token| &**token).collect();
+        let resume = serde_json::json!({ "offset": tokens.len(), "tokens": tokens });
+        fields.insert("resume".to_owned(), resume);
+    }
+    Bytes::from(serde_json::Value::Object(fields).to_string())
+}
+
+impl<'de> Deserialize<'de> for Head {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Head, D::Error> {
+        deserializer.deserialize_map(HeadVisitor)
+    }
+}
+
+struct HeadVisitor;
+
+impl<'de> Visitor<'de> for HeadVisitor {
+    type Value = Head;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object with \"model\" and \"messages\"")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> std::result::Result<Head, A::Error> {
+        let mut model = None;
+        let mut stream = false;
+        let mut messages = false;
+        while let Some(key) = map.next_key::<String>()? {
+            match key.as_str() {
+                "model" => model = Some(map.next_value()?),
+                "stream" => stream = map.next_value::<Option<bool>>()?.unwrap_or(false),
+                "messages" => {
+                    map.next_value::<Vec<IgnoredAny>>()?;
+                    messages = true;
+                }
+                _ => drop(map.next_value::<IgnoredAny>()?),
+            }
+        }
+        if !messages {
+            return Err(serde::de::Error::missing_field("messages"));
+        }
+        let model = model.ok_or_else(|| serde::de::Error::missing_field("model"))?;
+        Ok(Head { model, stream })
+    }
+}
--- /dev/null
+++ b/src/caller/event.rs
@@ -0,0 +1,141 @@
+//! Writes a stream as server-sent events or as one chat completion.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde_json::json;
+
+use crate::endpoint::sse::Usage;
+use crate::error::Kind;
+use crate::stream::Finish;
+use crate::stream::journal::{Part, Reader};
+
+/// Ends every complete stream.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// Encodes the events of one stream.
+#[derive(Debug)]
+pub struct Encoder {
+    id: Arc<str>,
+    /// Text of a chunk event before and after its content.
+    head: String,
+    model: Arc<str>,
+}
+
+impl Encoder {
+    pub fn new(id: Arc<str>, model: Arc<str>) -> Encoder {
+        let head = format!(
+            "\ndata: {{\"id\":{},\"object\":\"chat.completion.chunk\",\"model\":{},\
+             \"choices\":[{{\"index\":0,\"delta\":{{\"content\":",
+            quote(&id),
+            quote(&model)
+        );
+        Encoder { id, head, model }
+    }
+
+    /// Encodes what follows `offset`; a finish that the caller has already seen is not repeated.
+    pub fn encode(&self, offset: u64, part: &Part) -> Bytes {
+        let mut text = String::with_capacity(part.tokens.len() * (self.head.len() + 96));
+        let mut next = offset;
+        for token in &part.tokens {
+            self.open(&mut text, next);
+            text.push_str(&self.head);
+            text.push_str(&quote(token));
+            text.push_str("},\"finish_reason\":null}]}\n\n");
+            next += 1;
+        }
+        match &part.finish {
+            Some(Finish::Complete { reason, usage }) => self.close(&mut text, next, reason, usage),
+            Some(Finish::Failed { kind, detail }) => {
+                text.push_str("event: error\ndata: ");
+                text.push_str(&failure(*kind, detail).to_string());
+                text.push_str("\n\n");
+            }
+            None => {}
+        }
+        Bytes::from(text)
+    }
+
+    fn open(&self, text: &mut String, number: u64) {
+        text.push_str("id: ");
+        text.push_str(&self.id);
+        text.push('.');
+        text.push_str(&number.to_string());
+    }
+
+    fn close(&self, text: &mut String, number: u64, reason: &str, usage: &Usage) {
+        let chunk = json!({
+            "id": &*self.id,
+            "object": "chat.completion.chunk",
+            "model": &*self.model,
+            "choices": [{ "index": 0, "delta": {}, "finish_reason": reason }],
+            "usage": usage_json(usage),
+        });
+        self.open(text, number);
+        text.push_str("\ndata: ");
+        text.push_str(&chunk.to_string());
+        text.push_str("\n\n");
+        text.push_str(DONE);
+    }
+}
+
+/// Builds the answer for a caller that did not ask for a stream.
+pub fn completion(
+    id: &str,
+    model: &str,
+    content: &str,
+    reason: &str,
+    usage: &Usage,
+) -> serde_json::Value {
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": content },
+            "finish_reason": reason,
+        }],
+        "usage": usage_json(usage),
+    })
+}
+
+/// Gives the reader's steps as body chunks and ends after the finish.
+pub fn body(reader: Reader, encoder: Encoder, first: Bytes, ended: bool) -> axum::body::Body {
+    let start = (reader, encoder, Some(first), ended);
+    let stream =
+        futures_util::stream::unfold(start, async |(mut reader, encoder, first, ended)| {
+            if let Some(first) = first {
+                return Some((
+                    Ok::<_, std::convert::Infallible>(first),
+                    (reader, encoder, None, ended),
+                ));
+            }
+            if ended {
+                return None;
+            }
+            let offset = reader.offset();
+            let part = reader.next().await;
+            let bytes = encoder.encode(offset, &part);
+            Some((Ok(bytes), (reader, encoder, None, part.finish.is_some())))
+        });
+    axum::body::Body::from_stream(stream)
+}
+
+fn failure(kind: Kind, detail: &str) -> serde_json::Value {
+    let answer = kind.answer();
+    json!({ "error": { "kind": answer.name, "message": detail, "run": answer.run.as_str() } })
+}
+
+fn usage_json(usage: &Usage) -> serde_json::Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
+
+fn quote(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
--- /dev/null
+++ b/src/caller/plain.rs
@@ -0,0 +1,286 @@
+//! Plain services: pass-through, retries of idempotent requests, at-most-once for keyed ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::Request;
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use super::target::{self, Exclude};
+use super::{Context, body, identify};
+use crate::claim::{self, keeper};
+use crate::daemon::Node;
+use crate::endpoint::answer::{self, Answer, Fault, REQUEST_ID};
+use crate::error::{Error, Kind, Result};
+use crate::resource::Service;
+
+/// Names the header by which a caller makes a non-idempotent request repeatable.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Tells endpoints which workspace sent a request.
+pub const WORKSPACE: &str = "x-workspace";
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 256;
+/// Attempts of an idempotent request, the first included.
+const ATTEMPTS: usize = 4;
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Headers that belong to one connection; RFC 9110, section 7.6.1.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Holds a request as every attempt sends it.
+#[derive(Debug)]
+struct Call {
+    service: Arc<str>,
+    method: Method,
+    /// Path below the service, with the query.
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline: Instant,
+}
+
+/// Answers `/{service}/...`.
+pub async fn handle(node: &Arc<Node>, id: Arc<str>, request: Request) -> Result<Response> {
+    let context = identify(node, id, request.headers())?;
+    let (parts, body) = request.into_parts();
+    let (name, path) = split(parts.uri.path());
+    let service = context
+        .catalog
+        .service(name)
+        .ok_or_else(|| Error::new(Kind::NotFound, format!("there is no service \"{name}\"")))?;
+    let key = idempotency_key(&parts.headers)?;
+    let body = body::read(body, &node.settings.limits).await?;
+    let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let call = Call {
+        service: name.into(),
+        path: format!("{path}{query}"),
+        headers: forward_headers(&parts.headers, &context),
+        deadline: context.deadline(service.deadline_ms),
+        method: parts.method,
+        body,
+    };
+    let answer = run(node, &context, service, &call, path, key).await?;
+    Ok(respond(answer))
+}
+
+async fn run(
+    node: &Arc<Node>,
+    context: &Context,
+    service: &Service,
+    call: &Call,
+    path: &str,
+    key: Option<&str>,
+) -> Result<Answer> {
+    if service.is_idempotent(&call.method, path) {
+        return repeat(node, context, call).await;
+    }
+    match key {
+        Some(key) => run_once(node, context, call, key).await,
+        None => send_once(node, context, call).await.map_err(|fault| refuse(&fault)),
+    }
+}
+
+fn split(path: &str) -> (&str, &str) {
+    let rest = path.strip_prefix('/').unwrap_or(path);
+    match rest.find('/') {
+        Some(at) => rest.split_at(at),
+        None => (rest, "/"),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<&str>> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
+    match value.to_str() {
+        Ok(key) if !key.is_empty() && key.len() <= KEY_BYTES => Ok(Some(key)),
+        _ => {
+            let detail = format!("the idempotency key must have 1 to {KEY_BYTES} visible bytes");
+            Err(Error::new(Kind::BadRequest, detail))
+        }
+    }
+}
+
+/// Repeats an idempotent request while time is left.
+async fn repeat(node: &Arc<Node>, context: &Context, call: &Call) -> Result<Answer> {
+    let mut exclude = Exclude::new();
+    let mut last = Error::new(Kind::NoEndpoint, "no endpoint could be reached");
+    for _ in 0..ATTEMPTS {
+        let target = match target::choose(node, &context.catalog, &call.service, &exclude) {
+            Ok(target) => target,
+            Err(error) if exclude.is_empty() => return Err(error),
+            Err(_) => {
+                exclude.clear();
+                continue;
+            }
+        };
+        match send(node, context, call, &target).await {
+            Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
+            Ok(answer) => last = Error::new(Kind::EndpointFailed, answer.status.to_string()),
+            Err(fault) => last = refuse(&fault),
+        }
+        exclude.push(target.vm);
+        if Instant::now() + RETRY_PAUSE >= call.deadline {
+            break;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Err(last)
+}
+
+/// Sends a request at most once; only what provably did not run goes to another endpoint.
+async fn send_once(
+    node: &Arc<Node>,
+    context: &Context,
+    call: &Call,
+) -> std::result::Result<Answer, Fault> {
+    let mut exclude = Exclude::new();
+    let mut last = Fault::NotRun("no endpoint could be reached".to_owned());
+    for _ in 0..ATTEMPTS {
+        let Ok(target) = target::choose(node, &context.catalog, &call.service, &exclude) else {
+            break;
+        };
+        match send(node, context, call, &target).await {
+            Err(Fault::NotRun(reason)) => last = Fault::NotRun(reason),
+            other => return other,
+        }
+        exclude.push(target.vm);
+    }
+    Err(last)
+}
+
+async fn run_once(node: &Arc<Node>, context: &Context, call: &Call, key: &str) -> Result<Answer> {
+    let claim = keeper::Claim {
+        key: claim::row_key(&context.workspace, &call.service, key),
+        attempt: context.id.clone(),
+        digest: claim::digest(call.method.as_str(), &call.path, &call.body),
+        deadline: call.deadline,
+    };
+    let started = match keeper::enter(&node.client, &node.batcher, claim).await? {
+        keeper::Entry::Recorded(recorded) => return replay(&recorded),
+        keeper::Entry::Started(started) => started,
+    };
+    match send_once(node, context, call).await {
+        Ok(answer) => {
+            started.record(&node.batcher, record(&answer)).await;
+            Ok(answer)
+        }
+        Err(fault) => {
+            if matches!(fault, Fault::NotRun(_)) {
+                started.release(&node.batcher).await;
+            }
+            Err(refuse(&fault))
+        }
+    }
+}
+
+async fn send(
+    node: &Arc<Node>,
+    context: &Context,
+    call: &Call,
+    target: &target::Target,
+) -> std::result::Result<Answer, Fault> {
+    let mut request = http::Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() =
+        call.path.parse().map_err(|_| Fault::NotRun("the path is not valid".to_owned()))?;
+    *request.headers_mut() = call.headers.clone();
+    let host = HeaderValue::from_str(&target.address.to_string());
+    if let (Ok(host), Ok(id)) = (host, HeaderValue::from_str(&context.id)) {
+        request.headers_mut().insert(header::HOST, host);
+        request.headers_mut().insert(REQUEST_ID, id);
+    }
+    let pool = node.directory.pool(target.address);
+    let exchange = answer::exchange(&pool, request, node.settings.limits.answer_bytes);
+    match tokio::time::timeout_at(call.deadline, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Fault::Unknown("the deadline has passed".to_owned())),
+    }
+}
+
+fn refuse(fault: &Fault) -> Error {
+    match fault {
+        Fault::NotRun(reason) => Error::new(Kind::NoEndpoint, reason),
+        Fault::Unknown(reason) => Error::new(Kind::OutcomeUnknown, reason),
+        Fault::Incomplete(reason) => Error::new(Kind::AnswerIncomplete, reason),
+        Fault::TooLarge => Error::new(Kind::AnswerTooLarge, "the answer is too large to relay"),
+    }
+}
+
+fn forward_headers(headers: &HeaderMap, context: &Context) -> HeaderMap {
+    let mut forwarded = end_to_end(headers);
+    // The token identifies the workspace here and is of no use to an endpoint.
+    forwarded.remove(header::AUTHORIZATION);
+    forwarded.remove(header::CONTENT_LENGTH);
+    forwarded.remove(header::EXPECT);
+    if let Ok(workspace) = HeaderValue::from_str(&context.workspace) {
+        forwarded.insert(WORKSPACE, workspace);
+    }
+    forwarded.append(header::VIA, HeaderValue::from_static("1.1 pomelolink"));
+    forwarded
+}
+
+/// Copies headers without those that belong to one connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::new();
+    for (name, value) in headers {
+        let text = name.as_str();
+        if !HOP_BY_HOP.contains(&text) && !named.iter().any(|named| named == text) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+fn respond(answer: Answer) -> Response {
+    let mut headers = end_to_end(&answer.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let mut response = (answer.status, answer.body).into_response();
+    response.headers_mut().remove(header::CONTENT_TYPE);
+    response.headers_mut().extend(headers);
+    response
+}
+
+fn record(answer: &Answer) -> claim::Answer {
+    let headers = end_to_end(&answer.headers);
+    let headers = headers.iter().filter(|(name, _)| *name != REQUEST_ID);
+    let headers = headers.filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    });
+    claim::Answer {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: claim::hex(&answer.body),
+    }
+}
+
+fn replay(recorded: &claim::Answer) -> Result<Answer> {
+    let broken = || Error::new(Kind::OutcomeUnknown, "the recorded answer is broken");
+    let mut headers = HeaderMap::new();
+    for (name, value) in &recorded.headers {
+        let name: HeaderName = name.parse().map_err(|_| broken())?;
+        headers.append(name, value.parse().map_err(|_| broken())?);
+    }
+    let status = StatusCode::from_u16(recorded.status).map_err(|_| broken())?;
+    let body = claim::unhex(&recorded.body).ok_or_else(broken)?;
+    Ok(Answer { status, headers, body: body.into() })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,15 @@
 //!
 //! Each module is one duty with its own state, messages and decisions; see `docs/design.md`.
 
+pub mod caller;
+pub mod claim;
 pub mod config;
+pub mod daemon;
 pub mod document;
+pub mod endpoint;
 pub mod error;
 pub mod platform;
 pub mod resource;
 pub mod revision;
+pub mod stream;
+pub mod util;
--- /dev/null
+++ b/src/stream/journal.rs
@@ -0,0 +1,223 @@
+//! Journal of the streams that this node carries.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+
+use super::{Finish, Request};
+
+/// Holds the streams in progress and those that ended a short time ago.
+#[derive(Debug)]
+pub struct Journal {
+    entries: Mutex<HashMap<Arc<str>, Arc<Entry>>>,
+    limit: usize,
+}
+
+/// Holds one stream. The tokens only grow, and nothing is added after the finish.
+#[derive(Debug)]
+pub struct Entry {
+    pub request: Request,
+    pub accepted: Instant,
+    progress: Mutex<Progress>,
+    /// Counts changes, so that readers wake up.
+    changes: watch::Sender<u64>,
+    readers: AtomicUsize,
+}
+
+/// Reads one stream from an offset on; while a reader exists, the stream counts as wanted.
+#[derive(Debug)]
+pub struct Reader {
+    entry: Arc<Entry>,
+    offset: u64,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    tokens: Vec<Arc<str>>,
+    finish: Option<Finish>,
+    ended: Option<Instant>,
+    read: Option<Instant>,
+}
+
+/// Holds what a reader gets in one step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    pub tokens: Vec<Arc<str>>,
+    pub finish: Option<Finish>,
+}
+
+impl Journal {
+    pub fn new(limit: usize) -> Journal {
+        Journal { entries: Mutex::default(), limit }
+    }
+
+    /// Opens an entry; `None` when the journal is full or the id is taken.
+    pub fn open(&self, request: Request, tokens: Vec<Arc<str>>) -> Option<Arc<Entry>> {
+        let mut entries = self.lock();
+        if entries.len() >= self.limit || entries.contains_key(&request.id) {
+            return None;
+        }
+        let entry = Arc::new(Entry {
+            accepted: Instant::now(),
+            progress: Mutex::new(Progress { tokens, ..Progress::default() }),
+            changes: watch::Sender::new(0),
+            readers: AtomicUsize::new(0),
+            request,
+        });
+        entries.insert(entry.request.id.clone(), entry.clone());
+        Some(entry)
+    }
+
+    pub fn get(&self, id: &str) -> Option<Arc<Entry>> {
+        self.lock().get(id).cloned()
+    }
+
+    pub fn remove(&self, id: &str) {
+        self.lock().remove(id);
+    }
+
+    /// Lists the streams that have not ended.
+    pub fn unfinished(&self) -> Vec<Arc<Entry>> {
+        let entries = self.lock();
+        entries.values().filter(|entry| entry.finish().is_none()).cloned().collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Forgets streams that ended longer ago than `keep`.
+    pub fn sweep(&self, now: Instant, keep: Duration) {
+        self.lock().retain(|_, entry| {
+            let ended = entry.lock().ended;
+            ended.is_none_or(|ended| now.saturating_duration_since(ended) < keep)
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<Entry>>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Reader {
+    pub fn entry(&self) -> &Arc<Entry> {
+        &self.entry
+    }
+
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Waits for the next tokens or the end of the stream.
+    pub async fn next(&mut self) -> Part {
+        let part = self.entry.read(self.offset).await;
+        self.offset += part.tokens.len() as u64;
+        part
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.entry.readers.fetch_sub(1, Ordering::Relaxed);
+        self.entry.lock().read = Some(Instant::now());
+    }
+}
+
+impl Entry {
+    /// Adds tokens that follow directly on those held so far.
+    pub fn push(&self, tokens: impl IntoIterator<Item = Arc<str>>) {
+        let mut progress = self.lock();
+        if progress.finish.is_none() {
+            progress.tokens.extend(tokens);
+            drop(progress);
+            self.wake();
+        }
+    }
+
+    /// Ends the stream; the first call counts.
+    pub fn close(&self, finish: Finish) {
+        let mut progress = self.lock();
+        if progress.finish.is_none() {
+            progress.finish = Some(finish);
+            progress.ended = Some(Instant::now());
+            drop(progress);
+            self.wake();
+        }
+    }
+
+    pub fn offset(&self) -> u64 {
+        self.lock().tokens.len() as u64
+    }
+
+    pub fn tokens(&self) -> Vec<Arc<str>> {
+        self.lock().tokens.clone()
+    }
+
+    pub fn finish(&self) -> Option<Finish> {
+        self.lock().finish.clone()
+    }
+
+    /// Attaches a reader.
+    pub fn reader(self: &Arc<Entry>, offset: u64) -> Reader {
+        self.readers.fetch_add(1, Ordering::Relaxed);
+        Reader { entry: self.clone(), offset }
+    }
+
+    /// Tells how long no caller has read from the stream.
+    pub fn unread_for(&self, now: Instant) -> Duration {
+        if self.readers.load(Ordering::Relaxed) > 0 {
+            return Duration::ZERO;
+        }
+        let read = self.lock().read.unwrap_or(self.accepted);
+        now.saturating_duration_since(read)
+    }
+
+    /// Gives what follows an offset at once, even if that is nothing.
+    pub fn read_now(&self, offset: u64) -> Part {
+        let mut progress = self.lock();
+        progress.read = Some(Instant::now());
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(progress.tokens.len());
+        Part { tokens: progress.tokens[start..].to_vec(), finish: progress.finish.clone() }
+    }
+
+    /// Waits until something follows an offset.
+    pub async fn read(&self, offset: u64) -> Part {
+        let mut changes = self.changes.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let part = self.read_now(offset);
+            if !part.tokens.is_empty() || part.finish.is_some() {
+                return part;
+            }
+            // The sender lives in this entry, so waiting can't fail.
+            let _ = changes.changed().await;
+        }
+    }
+
+    /// Waits until the stream has ended.
+    pub async fn wait(&self) -> Finish {
+        let mut changes = self.changes.subscribe();
+        loop {
+            changes.mark_unchanged();
+            if let Some(finish) = self.finish() {
+                return finish;
+            }
+            let _ = changes.changed().await;
+        }
+    }
+
+    fn wake(&self) {
+        self.changes.send_modify(|count| *count = count.wrapping_add(1));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,3 @@
+//! Small helpers that several modules share.
+
+pub mod serve;
--- /dev/null
+++ b/src/util/serve.rs
@@ -0,0 +1,77 @@
+//! HTTP server with bounded headers, bounded waiting for them, and a graceful stop.
+
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Pause after a failed accept, for instance when no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds what a connection can make the server hold.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    pub header_bytes: usize,
+    pub header_timeout: Duration,
+}
+
+/// Serves until `stop` turns true, then finishes the requests in flight.
+pub async fn serve(
+    listener: TcpListener,
+    router: axum::Router,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        while connections.try_join_next().is_some() {}
+        match accepted {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                let connection = connection(stream, router.clone(), bounds, stop.clone());
+                connections.spawn(connection);
+            }
+            Err(error) => {
+                log::warn!("serve: cannot accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+async fn connection(
+    stream: tokio::net::TcpStream,
+    router: axum::Router,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.header_timeout)
+        .max_buf_size(bounds.header_bytes);
+    let service = TowerToHyperService::new(router);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // The guard that `wait_for` gives is not `Send`, so it is dropped inside this future.
+    let stopped = async move { stop.wait_for(|stop| *stop).await.is_ok() };
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = stopped => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("serve: connection ended: {error}");
+    }
+}
