--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,13 @@
 //!
 //! Each module is one duty with its own state, messages and decisions; see `docs/design.md`.
 
+pub mod admission;
 pub mod config;
 pub mod document;
 pub mod error;
 pub mod platform;
 pub mod resource;
+pub mod retry;
 pub mod revision;
+pub mod routing;
+pub mod trace;
