--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each module is one duty with its own state, messages and decisions; see `docs/design.md`.
 
+pub mod admission;
 pub mod caller;
 pub mod claim;
 pub mod config;
@@ -11,6 +12,9 @@
 pub mod error;
 pub mod platform;
 pub mod resource;
+pub mod retry;
 pub mod revision;
+pub mod routing;
 pub mod stream;
+pub mod trace;
 pub mod util;
