Add wire frames, membership, the peer network and the configuration loop

Cause: daemons had no way to find each other, to authenticate messages, or to get a configuration while the platform is unreachable.

Change: `wire` seals and opens frames and keeps replay windows; `membership` is a state machine of probes and gossip; `peer` runs both over one UDP socket and one TCP listener; `revision::run` polls, follows hints and pulls from peers.

Loss, cuts and bandwidth are not measured yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,9 @@
 pub mod config;
 pub mod document;
 pub mod error;
+pub mod membership;
+pub mod peer;
 pub mod platform;
 pub mod resource;
 pub mod revision;
+pub mod wire;
--- /dev/null
+++ b/src/peer/stream.rs
@@ -0,0 +1,269 @@
+//! Requests by TCP: framing, pooled client connections and the server side.
+//!
+//! A connection carries one request at a time. After a timeout or any mistake it is closed, so a
+//! late reply can never be taken for the reply to another request.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time;
+
+use super::counter::{Counter, Counters};
+use super::message::{Envelope, Reply, Request};
+use crate::wire::{self, Codec, Role, Session};
+
+/// Idle connections kept per address; more requests at once open further ones.
+const IDLE_PER_ADDRESS: usize = 2;
+/// Idle connections kept in total, to bound memory and descriptors.
+const IDLE_TOTAL: usize = 256;
+/// Age at which an idle connection is no longer used. The server keeps it for longer, so a request
+/// seldom meets a connection that is being closed.
+const CLIENT_IDLE: Duration = Duration::from_secs(20);
+const SERVER_IDLE: Duration = Duration::from_secs(60);
+/// Time in which a client must send a whole frame after its first byte.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which the two ends must exchange their nonces.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Tells why a request has no reply.
+#[derive(Debug)]
+pub enum Error {
+    /// The request was not sent, so the peer did not act on it.
+    NotSent(io::Error),
+    /// The request was sent, at least in part, and the connection failed.
+    Broken(io::Error),
+    /// No reply came in time; the peer may have acted on the request.
+    Timeout,
+    /// A frame could not be sealed or opened.
+    Wire(wire::Error),
+    /// The reply carries the id of another request.
+    Mismatch,
+}
+
+impl Error {
+    /// Tells whether the peer certainly did not act on the request.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Error::NotSent(_))
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::NotSent(error) => write!(f, "request not sent: {error}"),
+            Error::Broken(error) => write!(f, "connection failed during a request: {error}"),
+            Error::Timeout => f.write_str("no reply in time"),
+            Error::Wire(error) => write!(f, "{error}"),
+            Error::Mismatch => f.write_str("reply to another request"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Holds one authenticated connection.
+#[derive(Debug)]
+pub(super) struct Connection {
+    socket: TcpStream,
+    session: Session,
+    counters: Arc<Counters>,
+    next_id: u64,
+    idle_since: Instant,
+}
+
+impl Connection {
+    async fn connect(
+        address: SocketAddr,
+        codec: Arc<Codec>,
+        counters: Arc<Counters>,
+    ) -> io::Result<Connection> {
+        let socket = TcpStream::connect(address).await?;
+        Connection::greet(socket, Role::Client, codec, counters).await
+    }
+
+    pub(super) async fn accept(
+        socket: TcpStream,
+        codec: Arc<Codec>,
+        counters: Arc<Counters>,
+    ) -> io::Result<Connection> {
+        let greeting = Connection::greet(socket, Role::Server, codec, counters);
+        time::timeout(HELLO_TIMEOUT, greeting).await?
+    }
+
+    /// Exchanges the nonces that tie all frames to this connection.
+    async fn greet(
+        mut socket: TcpStream,
+        role: Role,
+        codec: Arc<Codec>,
+        counters: Arc<Counters>,
+    ) -> io::Result<Connection> {
+        socket.set_nodelay(true)?;
+        let own: wire::Nonce = rand::random();
+        let mut other = wire::Nonce::default();
+        socket.write_all(&own).await?;
+        socket.read_exact(&mut other).await?;
+        let (client, server) = if role == Role::Client { (own, other) } else { (other, own) };
+        let session = Session::new(codec, role, client, server);
+        Ok(Connection { socket, session, counters, next_id: 0, idle_since: Instant::now() })
+    }
+
+    /// Tells whether an idle connection can still be used: open, and without unread bytes.
+    fn is_usable(&self) -> bool {
+        let mut byte = [0];
+        let silent = matches!(
+            self.socket.try_read(&mut byte),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        );
+        silent && self.idle_since.elapsed() < CLIENT_IDLE
+    }
+
+    async fn write(&mut self, body: &impl Serialize) -> Result<(), Error> {
+        let frame = self.session.seal(body).map_err(Error::Wire)?;
+        let length = u32::try_from(frame.len()).map_err(|_| Error::Wire(wire::Error::Oversize))?;
+        let mut bytes = Vec::with_capacity(4 + frame.len());
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(&frame);
+        self.socket.write_all(&bytes).await.map_err(Error::Broken)?;
+        self.counters.add(Counter::StreamBytesSent, bytes.len());
+        Ok(())
+    }
+
+    async fn read<T: DeserializeOwned>(&mut self, idle: Duration) -> Result<T, Error> {
+        let mut length = [0; 4];
+        let first = time::timeout(idle, self.socket.read_exact(&mut length)).await;
+        first.map_err(|_| Error::Timeout)?.map_err(Error::Broken)?;
+        let length = u32::from_le_bytes(length) as usize;
+        if length > wire::STREAM_BYTES {
+            self.counters.drop_frame(wire::Error::Oversize);
+            return Err(Error::Wire(wire::Error::Oversize));
+        }
+        // The buffer grows with the bytes that arrive, so a false length costs no memory.
+        let mut frame = Vec::new();
+        let mut limited = (&mut self.socket).take(length as u64);
+        let rest = time::timeout(FRAME_TIMEOUT, limited.read_to_end(&mut frame)).await;
+        rest.map_err(|_| Error::Timeout)?.map_err(Error::Broken)?;
+        if frame.len() < length {
+            return Err(Error::Broken(io::ErrorKind::UnexpectedEof.into()));
+        }
+        self.counters.add(Counter::StreamBytesReceived, 4 + length);
+        let frame = self.session.open(&frame).map_err(|cause| {
+            self.counters.drop_frame(cause);
+            Error::Wire(cause)
+        })?;
+        Ok(frame.body)
+    }
+
+    async fn exchange(&mut self, request: &Request, timeout: Duration) -> Result<Reply, Error> {
+        self.next_id += 1;
+        let id = self.next_id;
+        self.write(&Envelope { id, body: request }).await?;
+        let reply: Envelope<Reply> = self.read(timeout).await?;
+        if reply.id != id {
+            return Err(Error::Mismatch);
+        }
+        Ok(reply.body)
+    }
+
+    /// Receives the next request of the other end.
+    pub(super) async fn next_request(&mut self) -> Result<Envelope<Request>, Error> {
+        self.read(SERVER_IDLE).await
+    }
+
+    pub(super) async fn reply(&mut self, id: u64, body: &Reply) -> Result<(), Error> {
+        let written = time::timeout(FRAME_TIMEOUT, self.write(&Envelope { id, body })).await;
+        written.unwrap_or(Err(Error::Timeout))
+    }
+}
+
+/// Keeps idle client connections by address.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// Sends a request and waits for its reply, at most `timeout` in all.
+    ///
+    /// A pooled connection that fails is replaced by a new one, but the request is sent a second
+    /// time only if it is idempotent.
+    pub(super) async fn request(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        timeout: Duration,
+        codec: &Arc<Codec>,
+        counters: &Arc<Counters>,
+    ) -> Result<Reply, Error> {
+        let deadline = time::Instant::now() + timeout;
+        if let Some(connection) = self.take(address) {
+            match self.run(connection, address, request, deadline).await {
+                Err(Error::Broken(_)) if request.is_idempotent() => {}
+                result => return result,
+            }
+        }
+        let connecting = Connection::connect(address, codec.clone(), counters.clone());
+        let connected = time::timeout_at(deadline, connecting).await;
+        let connected = connected.map_err(|elapsed| Error::NotSent(elapsed.into()))?;
+        let connection = connected.map_err(Error::NotSent)?;
+        self.run(connection, address, request, deadline).await
+    }
+
+    async fn run(
+        &self,
+        mut connection: Connection,
+        address: SocketAddr,
+        request: &Request,
+        deadline: time::Instant,
+    ) -> Result<Reply, Error> {
+        let timeout = deadline.saturating_duration_since(time::Instant::now());
+        let exchange = connection.exchange(request, timeout);
+        let result = time::timeout_at(deadline, exchange).await.unwrap_or(Err(Error::Timeout));
+        match &result {
+            Ok(_) => self.put(address, connection),
+            // Other connections to a silent peer have most likely gone silent as well.
+            Err(Error::Timeout) => self.clear(address),
+            Err(_) => {}
+        }
+        result
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn put(&self, address: SocketAddr, mut connection: Connection) {
+        connection.idle_since = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.values().map(Vec::len).sum::<usize>() >= IDLE_TOTAL {
+            idle.retain(|_, connections| {
+                connections.retain(Connection::is_usable);
+                !connections.is_empty()
+            });
+        }
+        let total: usize = idle.values().map(Vec::len).sum();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < IDLE_PER_ADDRESS && total < IDLE_TOTAL {
+            connections.push(connection);
+        }
+    }
+
+    fn clear(&self, address: SocketAddr) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+}
--- a/src/revision.rs
+++ b/src/revision.rs
@@ -12,6 +12,10 @@
 use crate::platform;
 use crate::resource::{Catalog, Id, Kind, Resource};
 
+mod follow;
+
+pub use follow::{is_acceptable, run};
+
 /// Names the row that holds the revision.
 pub const HEAD_KEY: &str = "config/head";
 /// Starts the key of each resource row.
@@ -35,6 +39,12 @@
         self.sender.borrow().clone()
     }
 
+    /// Tells whether a configuration has been received, from the platform or a peer; until then the
+    /// node refuses traffic.
+    pub fn is_ready(&self) -> bool {
+        self.sender.borrow().revision > 0
+    }
+
     pub fn subscribe(&self) -> watch::Receiver<Arc<Catalog>> {
         self.sender.subscribe()
     }
