Commit configuration changes conditionally and serve the operator interface

Operators need to change the configuration concurrently and to repeat a request whose answer was lost, without lost updates or double effects. Each commit is one transaction that depends on the head row, the touched rows and the absence of its operation row; an unknown outcome is settled by repeating the same conditional transaction. The operator interface puts declarations through it and reports every mistake or conflict at once.

--- /dev/null
+++ b/src/operator/read.rs
@@ -0,0 +1,103 @@
+//! Handlers that show the configuration and the state of the node.
+
+use axum::Json;
+use axum::extract::{self, Path};
+use axum::response::{IntoResponse, Response};
+use http::HeaderMap;
+use serde_json::{Value, json};
+
+use crate::config::Role;
+use crate::error::Kind;
+use crate::operator::view::Refusal;
+use crate::operator::write::parse_id;
+use crate::operator::{State, access, view};
+use crate::resource::{self, Phase, Spec};
+use crate::revision::commit::{self, Base};
+
+type Answer = Result<Response, Refusal>;
+
+pub async fn list(extract::State(state): extract::State<State>, headers: HeaderMap) -> Answer {
+    access::check(&state.tokens, &headers, Role::Read)?;
+    let (base, source) = read_base(&state).await;
+    Ok(Json(listing(&base, source, view::resources(&base, |_| true))).into_response())
+}
+
+pub async fn list_kind(
+    extract::State(state): extract::State<State>,
+    Path(kind): Path<String>,
+    headers: HeaderMap,
+) -> Answer {
+    access::check(&state.tokens, &headers, Role::Read)?;
+    let kind = parse_id(&kind, "")?.kind;
+    let (base, source) = read_base(&state).await;
+    Ok(Json(listing(&base, source, view::resources(&base, |id| id.kind == kind))).into_response())
+}
+
+pub async fn one(
+    extract::State(state): extract::State<State>,
+    Path((kind, name)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Answer {
+    access::check(&state.tokens, &headers, Role::Read)?;
+    let id = parse_id(&kind, &name)?;
+    let (base, source) = read_base(&state).await;
+    let found = view::resources(&base, |found| *found == id).pop();
+    let Some(mut found) = found else {
+        return Err(Refusal::new(Kind::NotFound, format!("there is no {id}")));
+    };
+    found["revision"] = base.catalog.revision.into();
+    found["source"] = source.into();
+    Ok(Json(found).into_response())
+}
+
+fn listing(base: &Base, source: &str, resources: Vec<Value>) -> Value {
+    json!({ "revision": base.catalog.revision, "source": source, "resources": resources })
+}
+
+/// Reads the table, or shows the configuration in effect without row versions.
+async fn read_base(state: &State) -> (Base, &'static str) {
+    match commit::read_base(&state.client).await {
+        Ok(base) => (base, "table"),
+        Err(failure) => {
+            log::warn!("operator: showing the configuration in effect: {failure}");
+            let catalog = resource::Catalog::clone(&state.revision.current());
+            (Base { catalog, ..Base::default() }, "node")
+        }
+    }
+}
+
+pub async fn status(extract::State(state): extract::State<State>, headers: HeaderMap) -> Answer {
+    access::check(&state.tokens, &headers, Role::Read)?;
+    let catalog = state.revision.current();
+    let moves = catalog.resources.iter().filter_map(|(id, found)| {
+        let Spec::Move(spec) = &found.spec else { return None };
+        let progress = found.status.progress.as_ref()?;
+        let phase = match progress.phase {
+            Phase::InProgress => "in_progress",
+            Phase::Done => "done",
+            Phase::Reverted => "reverted",
+        };
+        Some(json!({
+            "name": id.name,
+            "service": spec.service,
+            "from": spec.from,
+            "to": spec.to,
+            "phase": phase,
+            "share_permille": progress.share_permille,
+            "reason": progress.reason,
+            "deadline_ms": progress.accepted_ms.saturating_add(spec.within_s.saturating_mul(1_000)),
+        }))
+    });
+    let unready = (state.unready)();
+    let body = json!({
+        "node": state.node,
+        "failure_domain": state.failure_domain,
+        "revision": catalog.revision,
+        "ready": unready.is_none(),
+        "reason": unready,
+        "members": (state.members)(),
+        "leases": (state.leases)(),
+        "moves": moves.collect::<Vec<_>>(),
+    });
+    Ok(Json(body).into_response())
+}
--- a/src/revision.rs
+++ b/src/revision/mod.rs
@@ -3,6 +3,8 @@
 //! A node applies only a higher revision, so an accepted configuration never reverts; see
 //! `docs/design.md`, section 9.
 
+pub mod commit;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
