Record events with hybrid logical stamps and merge them into one story

After an incident operators have to order events of many nodes whose clocks differ. Events carry a stamp that respects the order of messages, stay in a bounded ring, and are written as batches that a retry repeats byte by byte. Sequence numbers without holes make lost events visible as gaps.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform;
 pub mod resource;
 pub mod revision;
+pub mod timeline;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -8,6 +8,7 @@
 pub mod edit;
 mod input;
 mod read;
+mod timeline;
 mod view;
 mod watch;
 mod write;
@@ -38,6 +39,7 @@
     pub tokens: Arc<[config::Token]>,
     pub client: platform::Client,
     pub revision: Arc<revision::State>,
+    pub timeline: Arc<crate::timeline::Buffer>,
     /// Gives the current time, in milliseconds since the Unix epoch.
     pub now_ms: Arc<dyn Fn() -> u64 + Send + Sync>,
     /// Gives the reason why the node is not ready; `None` when it is.
@@ -68,6 +70,9 @@
         .route("/v1/apply", post(write::apply))
         .route("/v1/watch", get(watch::watch))
         .route("/v1/status", get(read::status))
+        .route("/v1/timeline", get(timeline::live))
+        .route("/v1/timeline/batches", get(timeline::batches))
+        .route("/v1/timeline/batches/{node}/{sequence}", get(timeline::batch))
         .route("/metrics", get(metrics))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(ready))
--- a/src/operator/write.rs
+++ b/src/operator/write.rs
@@ -10,12 +10,13 @@
 use serde_json::{Value, json};
 
 use crate::config::Role;
-use crate::error::{Error, Kind};
+use crate::error::{self, Error};
 use crate::operator::edit::Item;
 use crate::operator::view::Refusal;
 use crate::operator::{State, access, edit, input, view};
-use crate::resource::{Catalog, Id};
+use crate::resource::{Catalog, Id, Kind};
 use crate::revision::commit::{self, Base, Change, Committed, Operation};
+use crate::timeline::{self, Subject};
 
 type Answer = Result<Response, Refusal>;
 
@@ -85,7 +86,7 @@
         |base: &Base| edit::delete(base, &id, expected, &operation.operator, operation.now_ms);
     let committed = run(&state, &operation, &[], &edit).await?;
     if committed.changes.is_empty() {
-        return Err(Refusal::new(Kind::NotFound, format!("there is no {id}")));
+        return Err(Refusal::new(error::Kind::NotFound, format!("there is no {id}")));
     }
     Ok(Json(summary(&operation, &committed)).into_response())
 }
@@ -93,7 +94,7 @@
 /// Gives the id that a path names.
 pub fn parse_id(kind: &str, name: &str) -> Result<Id, Error> {
     let kind = kind.parse().map_err(|()| {
-        Error::new(Kind::NotFound, format!("there is no resource kind \"{kind}\""))
+        Error::new(error::Kind::NotFound, format!("there is no resource kind \"{kind}\""))
     })?;
     Ok(Id::new(kind, name))
 }
@@ -126,6 +127,7 @@
                 committed.revision,
                 if committed.repeated { " (repeated)" } else { "" }
             );
+            record(state, operation, committed);
             (state.committed)(committed.revision);
         }
         Err(failure) => {
@@ -135,10 +137,31 @@
     result.map_err(|failure| Refusal::commit(&failure, items))
 }
 
+/// Puts each accepted change on the timeline.
+fn record(state: &State, operation: &Operation, committed: &Committed) {
+    if committed.repeated {
+        return;
+    }
+    for change in &committed.changes {
+        let name = || Some(change.id.name.clone());
+        let subject = match change.id.kind {
+            Kind::Move => Subject { move_name: name(), ..Subject::default() },
+            Kind::Service => Subject { service: name(), ..Subject::default() },
+            Kind::Workspace => Subject { workspace: name(), ..Subject::default() },
+            Kind::Pool | Kind::Version => Subject::default(),
+        };
+        let action = change.action.as_str();
+        let text = format!("{} {action} by {} ({})", change.id, operation.operator, operation.id);
+        let numbers = [("revision".into(), committed.revision as f64)].into();
+        let draft = timeline::Draft { part: "operator", subject, text, numbers };
+        state.timeline.record(operation.now_ms, draft);
+    }
+}
+
 async fn preview(state: &State, items: &[Item], now_ms: u64) -> Answer {
     let base = commit::read_base(&state.client)
         .await
-        .map_err(|failure| Error::new(Kind::PlatformDown, failure.to_string()))?;
+        .map_err(|failure| Error::new(error::Kind::PlatformDown, failure.to_string()))?;
     let catalog =
         edit::apply(&base, items, now_ms).map_err(|failure| Refusal::commit(&failure, items))?;
     let changes = commit::changes(&base.catalog, &catalog);
