--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod platform;
 pub mod resource;
 pub mod revision;
+pub mod rollout;
