--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -28,10 +28,16 @@
 /// Requests to the new version that fully confirm a step, and the last step.
 const STEP_REQUESTS: f64 = 100.0;
 const LAST_STEP_REQUESTS: f64 = 300.0;
-/// Requests to the new version asked for even when the exposure bound is used up.
+/// Requests to the new version asked for even when the exposure bound is used up; more before
+/// the move closes, because afterwards nothing takes a bad version back.
 const LEAST_REQUESTS: f64 = 20.0;
-/// Strength from which a share is not raised.
-const DOUBT: f64 = 2.0;
+const LEAST_LAST_REQUESTS: f64 = 100.0;
+/// Strength from which a share is not raised, with few and with fewest bad responses: a single
+/// failure at low traffic would otherwise hold a good version until its deadline.
+const DOUBT: f64 = 2.5;
+const DOUBT_RESPONSES: f64 = 3.0;
+const DOUBT_OF_FEW: f64 = 5.0;
+const DOUBT_OF_FEW_RESPONSES: f64 = 2.0;
 /// Strength from which a version above the canary share is taken back without full proof: each
 /// further second costs more requests than the canary did in minutes.
 const STRONG_DOUBT: f64 = 5.0;
@@ -161,7 +167,7 @@
         }
         let stratum = self.evidence.stratum(self.share);
         let signal = stratum.and_then(|stratum| verdict::judge_stratum(stratum, &self.targets));
-        if let Some(signal) = signal.filter(|signal| signal.strength >= DOUBT) {
+        if let Some(signal) = signal.filter(is_doubt) {
             return self.step_in_doubt(&signal);
         }
         let due = self.is_due();
@@ -177,9 +183,9 @@
         }
     }
 
-    /// Waits for clearer evidence at the canary share; above it only for the planned time.
+    /// Waits for clearer evidence, which the share in effect brings, as long as there is time.
     fn step_in_doubt(&self, signal: &Signal) -> Step {
-        if self.share > CANARY_PERMILLE && self.is_due() {
+        if self.now_ms >= self.end_ms() {
             let reason = format!("taken back in doubt: {signal}");
             return Step::Revert { reason: reason.into() };
         }
@@ -191,7 +197,7 @@
     /// A service with too little traffic for full evidence still moves on time as long as nothing
     /// speaks against the new version; the few requests it has bound the damage.
     fn is_due(&self) -> bool {
-        let end = self.deadline_ms.saturating_sub(self.margin_ms());
+        let end = self.end_ms();
         if self.share == CANARY_PERMILLE {
             return self.now_ms >= end.saturating_sub(self.ramp_ms());
         }
@@ -200,10 +206,10 @@
         self.now_ms >= self.changed_ms + left / steps
     }
 
-    /// Time kept free before the deadline for the write that closes the move.
-    fn margin_ms(&self) -> u64 {
+    /// Time by which the move should be closed, so that the write is done before the deadline.
+    fn end_ms(&self) -> u64 {
         let within = self.deadline_ms - self.accepted_ms;
-        (within / 50).max(2_000).min(within / 10)
+        self.deadline_ms.saturating_sub((within / 50).max(2_000).min(within / 10))
     }
 
     /// Time planned for the steps above the canary: half as much again as they need at the
@@ -231,18 +237,23 @@
         let bound = self.requests() * EXPOSURE_PERMILLE / 1_000.0;
         let spare = bound - self.evidence.new_requests as f64;
         let last = STEPS_PERMILLE.last().is_none_or(|last| share >= *last);
-        let full = if last { LAST_STEP_REQUESTS } else { STEP_REQUESTS };
-        (spare / 3.0).clamp(LEAST_REQUESTS, full)
+        let (least, full) = match last {
+            true => (LEAST_LAST_REQUESTS, LAST_STEP_REQUESTS),
+            false => (LEAST_REQUESTS, STEP_REQUESTS),
+        };
+        (spare / 3.0).clamp(least, full)
     }
 
     fn is_confirmed(&self, stratum: &Stratum) -> bool {
         let needed = self.needed_requests(self.share);
         let overall = stratum.overall();
         let all = f64::from(requests(&overall).0 + requests(&overall).1).max(1.0);
+        let last = next_share(self.share).is_none();
+        let least_on_route = if last { LEAST_REQUESTS } else { 0.0 };
         let route_confirmed = |route: &Route| {
             let (new, old) = requests(route);
             let part = f64::from(new + old) / all;
-            part < SMALL_ROUTE || f64::from(new) >= needed * part / 2.0
+            part < SMALL_ROUTE || f64::from(new) >= (needed * part / 2.0).max(least_on_route)
         };
         f64::from(requests(&overall).0) >= needed && stratum.routes.iter().all(route_confirmed)
     }
@@ -256,12 +267,20 @@
     STEPS_PERMILLE.into_iter().find(|step| *step > share)
 }
 
+fn is_doubt(signal: &Signal) -> bool {
+    has(signal, DOUBT_RESPONSES, DOUBT) || has(signal, DOUBT_OF_FEW_RESPONSES, DOUBT_OF_FEW)
+}
+
 fn is_strong_doubt(signal: &Signal) -> bool {
+    has(signal, STRONG_DOUBT_RESPONSES, STRONG_DOUBT)
+}
+
+fn has(signal: &Signal, responses: f64, strength: f64) -> bool {
     let enough = match signal.symptom {
-        Symptom::Failing | Symptom::Late => signal.new.0 >= STRONG_DOUBT_RESPONSES,
+        Symptom::Failing | Symptom::Late => signal.new.0 >= responses,
         Symptom::SlowStart | Symptom::SlowTokens => true,
     };
-    enough && signal.strength >= STRONG_DOUBT
+    enough && signal.strength >= strength
 }
 
 /// Tells whether the service fails on the old version, so that evidence says little.
--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -21,6 +21,14 @@
 /// A version that turns bad is compared over at most two windows, so that 20 failures are not
 /// hidden by a long good past.
 const WINDOW_REQUESTS: u32 = 100;
+/// Weight of one request in the running failure rate of the old version, and the rates between
+/// which an outage of the service begins and ends.
+///
+/// Windows alternate at both ends of an outage, so that a fault of the new version that is hidden
+/// by the outage shows as soon as the old version works again.
+const RATE_WEIGHT: f32 = 1.0 / 32.0;
+const OUTAGE_BEGINS: f32 = 0.3;
+const OUTAGE_ENDS: f32 = 0.1;
 /// Strata kept: the current share, and the one before while its last requests finish.
 const STRATA: usize = 2;
 /// Nodes whose reports are kept for one move; the design size is 330.
@@ -199,13 +207,14 @@
         &mut self.routes[index]
     }
 
-    fn rotate_when_full(&mut self) {
+    fn is_full(&self) -> bool {
         let used = |side: fn(&Route) -> &Ranges| -> u32 {
             self.routes.iter().map(|route| side(route).current.requests()).sum()
         };
-        if used(|route| &route.new).min(used(|route| &route.old)) < WINDOW_REQUESTS {
-            return;
-        }
+        used(|route| &route.new).min(used(|route| &route.old)) >= WINDOW_REQUESTS
+    }
+
+    fn rotate(&mut self) {
         for ranges in self.routes.iter_mut().flat_map(|route| [&mut route.new, &mut route.old]) {
             ranges.older = std::mem::take(&mut ranges.current);
         }
@@ -213,13 +222,17 @@
 }
 
 /// Holds the evidence of one move, of one node or summed over nodes.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Newest share last.
     pub strata: Vec<Stratum>,
     /// Requests since the move was accepted, at any share.
     pub new_requests: u64,
     pub old_requests: u64,
+    #[serde(skip)]
+    old_failure_rate: f32,
+    #[serde(skip)]
+    outage: bool,
 }
 
 impl Evidence {
@@ -228,11 +241,23 @@
             Side::New => self.new_requests += 1,
             Side::Old => self.old_requests += 1,
         }
+        let outage_changed = side == Side::Old && self.track_outage(sample.failed);
         let Some(stratum) = self.stratum_mut(sample.share_permille, STRATA) else { return };
         let ranges = stratum.route(sample.route).side(side);
         ranges.total.record(sample, targets);
         ranges.current.record(sample, targets);
-        stratum.rotate_when_full();
+        if stratum.is_full() || outage_changed {
+            stratum.rotate();
+        }
+    }
+
+    /// Follows the failure rate of the old version; tells whether an outage began or ended.
+    fn track_outage(&mut self, failed: bool) -> bool {
+        let failed = if failed { 1.0 } else { 0.0 };
+        self.old_failure_rate += (failed - self.old_failure_rate) * RATE_WEIGHT;
+        let limit = if self.outage { OUTAGE_ENDS } else { OUTAGE_BEGINS };
+        let before = std::mem::replace(&mut self.outage, self.old_failure_rate >= limit);
+        before != self.outage
     }
 
     /// Adds the evidence of another node; shares and routes are added to their equals.
@@ -281,7 +306,7 @@
 /// Carries the evidence of one node to the lease holder.
 ///
 /// Evidence is sent whole, so a lost report is made good by the next one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub node: Arc<str>,
     /// Grows with each report of a node, also across restarts: a node starts at its start time in
