--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod resource;
 pub mod retry;
 pub mod revision;
+pub mod rollout;
 pub mod routing;
 pub mod stream;
 pub mod timeline;
