Add the fault proxy for TCP and UDP

Tests of cut, delayed, silent and truncated connections need a part between two processes.

Stand-ins now close their connections when their task is dropped, so a test can end one inside its process.

--- a/standin/src/command.rs
+++ b/standin/src/command.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use crate::{engine, platform, service};
+use crate::{engine, platform, proxy, service};
 
 /// Run one stand-in until the process is ended.
 #[derive(Debug, FromArgs)]
@@ -19,6 +19,7 @@
     Engine(engine::Options),
     Service(service::Options),
     Platform(platform::Options),
+    Proxy(proxy::Options),
 }
 
 /// Binds, prints `listening on IP:PORT` to stdout and serves; gives an error when binding fails.
@@ -27,5 +28,6 @@
         Command::Engine(options) => engine::execute(options).await,
         Command::Service(options) => service::execute(options).await,
         Command::Platform(options) => platform::execute(options).await,
+        Command::Proxy(options) => proxy::execute(options).await,
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod engine;
 pub mod fault;
 pub mod platform;
+pub mod proxy;
 pub mod serve;
 pub mod service;
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not become a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -46,12 +47,14 @@
     stdout.flush()
 }
 
-/// Serves the router until the task is dropped.
+/// Serves the router until the task is dropped, which closes all connections.
 pub async fn serve(listener: TcpListener, router: Router) -> io::Result<()> {
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(connection(stream, router.clone()));
+                connections.spawn(connection(stream, router.clone()));
             }
             Err(error) => {
                 log::warn!("serve: accept failed: {error}");
