Make lost cache events repeatable and crossed ids realistic

A lost event now depends on its sequence number, so a second read shows the same gap. A crossed answer carries the id of another stream. The history of loads grows with changes only.

--- a/standin/src/engine/control.rs
+++ b/standin/src/engine/control.rs
@@ -81,9 +81,9 @@
 }
 
 pub(super) async fn counters(State(engine): Shared) -> Json<Value> {
-    let (totals, (running, queued)) = {
+    let (totals, (running, queued), last_ended) = {
         let scheduler = engine.scheduler();
-        (scheduler.totals, scheduler.load())
+        (scheduler.totals, scheduler.load(), scheduler.last_ended())
     };
     let orders = engine.orders();
     Json(json!({
@@ -93,6 +93,7 @@
         "resume_mismatches": engine.mismatches.load(Ordering::Relaxed),
         "running": running,
         "queued": queued,
+        "last_ended": last_ended.as_deref(),
         "prompt_tokens": totals.prompt,
         "cached_tokens": totals.cached,
         "recomputed_tokens": totals.recomputed,
--- a/standin/src/engine/router.rs
+++ b/standin/src/engine/router.rs
@@ -88,7 +88,7 @@
     let id = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
     let id: Arc<str> = id.map_or_else(|| format!("engine-{number}").into(), Arc::from);
     let shown: Arc<str> = match engine.dice.hit(faults.wrong_id) {
-        true => format!("crossed-{number}").into(),
+        true => engine.scheduler().other_id(&id).unwrap_or_else(|| "crossed".into()),
         false => Arc::clone(&id),
     };
     let mut response = if engine.dice.hit(faults.fail_share) {
@@ -204,7 +204,7 @@
     let lag = Duration::from_millis(engine.options.event_lag_ms);
     let mut events = engine.scheduler().cache.events(from.since, Instant::now(), lag);
     let next = events.last().map_or(from.since, |event| event.sequence);
-    events.retain(|_| !engine.dice.hit(engine.options.event_loss));
+    events.retain(|event| !engine.dice.hit_at(engine.options.event_loss, event.sequence));
     Json(json!({ "next": next, "events": events }))
 }
 
--- a/standin/src/engine/scheduler.rs
+++ b/standin/src/engine/scheduler.rs
@@ -15,6 +15,9 @@
 /// Imported states that wait for their stream.
 const IMPORTED: usize = 4_096;
 
+/// Changes of the load kept for lagged reports, so that the list is bounded without a reader.
+const LOADS: usize = 10_000;
+
 /// Sets the speed of the model.
 #[derive(Debug, Clone)]
 pub struct Speed {
@@ -108,6 +111,16 @@
             .or_else(|| self.ended.iter().rev().find(|stream| &*stream.id == id))
     }
 
+    pub fn last_ended(&self) -> Option<Arc<str>> {
+        self.ended.back().map(|stream| stream.id.clone())
+    }
+
+    /// Gives the id of another stream, for a crossed answer.
+    pub fn other_id(&self, id: &str) -> Option<Arc<str>> {
+        let others = self.streams().chain(self.ended.iter().rev());
+        others.map(|stream| &stream.id).find(|other| ***other != *id).cloned()
+    }
+
     pub fn streams(&self) -> impl Iterator<Item = &Arc<Stream>> {
         self.running.iter().map(|slot| &slot.stream).chain(self.waiting.values())
     }
@@ -150,9 +163,11 @@
             }
             self.running.push(Slot { stream, next_at });
         }
-        self.loads.push_back((now, self.running.len(), self.waiting.len()));
-        // Without a reader of the load, the history must not grow.
-        if self.loads.len() > 10_000 {
+        let (running, waiting) = self.load();
+        if self.loads.back().is_none_or(|(_, r, w)| (*r, *w) != (running, waiting)) {
+            self.loads.push_back((now, running, waiting));
+        }
+        if self.loads.len() > LOADS {
             self.loads.pop_front();
         }
     }
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -83,10 +83,11 @@
 
     /// Gives true for this share (0 to 1) of the draws.
     pub fn hit(&self, share: f64) -> bool {
-        if share <= 0.0 {
-            return false;
-        }
-        let draw = self.draws.fetch_add(1, Ordering::Relaxed);
+        share > 0.0 && self.hit_at(share, self.draws.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Gives the same answer each time for the same draw.
+    pub fn hit_at(&self, share: f64, draw: u64) -> bool {
         let hash = xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.seed);
         (hash as f64) < share * (u64::MAX as f64)
     }
--- a/standin/tests/engine_streams.rs
+++ b/standin/tests/engine_streams.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use common::{Answer, get, listener, post, send};
 use http::Method;
@@ -136,3 +137,56 @@
     assert_ne!(crossed.headers["x-request-id"], "r");
     assert_ne!(crossed.events()[0]["id"], "r");
 }
+
+#[tokio::test]
+async fn a_frozen_engine_sends_nothing_until_it_thaws() {
+    let to = start(fast()).await;
+    post(to, "/control/faults", json!({ "freeze": true })).await;
+    let mut stream = tokio::spawn(complete(to, "r", request("a", 4)));
+    let quiet = tokio::time::timeout(Duration::from_millis(50), &mut stream).await;
+    assert!(quiet.is_err());
+    post(to, "/control/faults", json!({ "freeze": false })).await;
+    assert_eq!(contents(&stream.await.expect("task")).len(), 4);
+}
+
+#[tokio::test]
+async fn a_more_important_request_leaves_the_queue_first() {
+    let to = start(engine::Options { gap_ms: 3_600_000.0, slots: 1, ..fast() }).await;
+    let running = async |running: u64, queued: u64| {
+        loop {
+            let counters = get(to, "/control/counters").await.json();
+            if (&counters["running"], &counters["queued"]) == (&json!(running), &json!(queued)) {
+                return;
+            }
+        }
+    };
+    let send = |id: &'static str, priority: i64| {
+        let mut body = request("a", 1);
+        body["max_tokens"] = json!(if id == "first" { 2 } else { 1 });
+        body["priority"] = json!(priority);
+        tokio::spawn(complete(to, id, body))
+    };
+    let mut streams = vec![send("first", 0)];
+    running(1, 0).await;
+    streams.push(send("low", -1));
+    running(1, 1).await;
+    streams.push(send("high", 1));
+    running(1, 2).await;
+    post(to, "/cancel/first", Value::Null).await;
+    for stream in streams {
+        stream.await.expect("task");
+    }
+    // Equal prompts and lengths: only the state that ended last tells the order.
+    let ended = get(to, "/control/counters").await.json()["last_ended"].clone();
+    assert_eq!(ended, "low");
+}
+
+#[tokio::test]
+async fn lost_events_are_the_same_on_each_read() {
+    let to = start(engine::Options { event_loss: 0.5, ..fast() }).await;
+    complete(to, "r", request(&words(16 * 40), 1)).await;
+    let events = get(to, "/events").await.json();
+    let count = events["events"].as_array().expect("list").len();
+    assert!((1..40).contains(&count));
+    assert_eq!((&events["next"], get(to, "/events").await.json()), (&json!(40), events.clone()));
+}
