--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -43,6 +43,9 @@
     /// milliseconds to compute one uncached block of 16 words
     #[argh(option, default = "Options::default().prefill_ms")]
     pub prefill_ms: f64,
+    /// milliseconds to export or import the state of one block
+    #[argh(option, default = "Options::default().state_ms")]
+    pub state_ms: f64,
     /// blocks that the prefix cache holds
     #[argh(option, default = "Options::default().cache_blocks")]
     pub cache_blocks: usize,
@@ -77,6 +80,7 @@
             batch: 16,
             slots: 64,
             prefill_ms: 1.0,
+            state_ms: 0.0,
             cache_blocks: 4_096,
             tick_ms: 2.0,
             load_lag_ms: 200,
--- a/standin/src/engine/router.rs
+++ b/standin/src/engine/router.rs
@@ -47,8 +47,15 @@
 
 #[derive(Debug, Deserialize)]
 struct Message {
+    /// Text, or parts of any shape, whose JSON then counts as the text.
     #[serde(default)]
-    content: String,
+    content: Value,
+}
+
+impl Message {
+    fn text(&self) -> String {
+        self.content.as_str().map_or_else(|| self.content.to_string(), str::to_owned)
+    }
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -122,7 +129,7 @@
     completion: Completion,
     faults: &Faults,
 ) -> Arc<Stream> {
-    let contents: Vec<&str> = completion.messages.iter().map(|m| m.content.as_str()).collect();
+    let contents: Vec<String> = completion.messages.iter().map(Message::text).collect();
     let prompt = contents.join("\n");
     let seed = stream::seed(&prompt);
     let offset = completion.resume.offset;
@@ -178,10 +185,17 @@
     let offset = stream.sent.load(Ordering::Relaxed);
     let text = scheduler::answered(&stream, offset);
     let words: Vec<&str> = text.split_whitespace().collect();
-    let blocks = cache::blocks(&words).iter().map(|block| format!("{block:016x}")).collect();
+    let blocks = cache::blocks(&words);
+    transfer(&engine, blocks.len()).await;
+    let blocks = blocks.iter().map(|block| format!("{block:016x}")).collect();
     Json(Exported { id, offset, words: words.len() as u64, blocks }).into_response()
 }
 
+/// Takes the time that moving the state of so many blocks needs.
+async fn transfer(engine: &Engine, blocks: usize) {
+    tokio::time::sleep(super::millis(engine.options.state_ms * blocks as f64)).await;
+}
+
 async fn import(
     State(engine): Shared,
     Path(id): Path<String>,
@@ -190,6 +204,7 @@
     let blocks: Result<Vec<u64>, _> =
         state.blocks.iter().map(|block| u64::from_str_radix(block, 16)).collect();
     let Ok(blocks) = blocks else { return StatusCode::BAD_REQUEST };
+    transfer(&engine, blocks.len()).await;
     engine.scheduler().import(&id, state.words, &blocks, Instant::now());
     StatusCode::OK
 }
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A small HTTP client for the tests of the stand-ins.
 
+#![allow(dead_code, reason = "each test file uses a part of these items")]
+
 use std::net::SocketAddr;
 
 use axum::body::Bytes;
@@ -11,7 +13,6 @@
 use serde_json::Value;
 use tokio::net::TcpListener;
 
-#[allow(dead_code, reason = "not every test reads every part")]
 pub struct Answer {
     pub status: StatusCode,
     pub headers: HeaderMap,
@@ -25,7 +26,6 @@
     }
 
     /// Gives the events of a stream, without the closing `[DONE]`.
-    #[allow(dead_code, reason = "only the engine sends events")]
     pub fn events(&self) -> Vec<Value> {
         let text = String::from_utf8_lossy(self.body.as_ref().expect("complete body")).into_owned();
         let data = text.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
--- a/standin/tests/engine_streams.rs
+++ b/standin/tests/engine_streams.rs
@@ -190,3 +190,30 @@
     assert!((1..40).contains(&count));
     assert_eq!((&events["next"], get(to, "/events").await.json()), (&json!(40), events.clone()));
 }
+
+#[tokio::test]
+async fn streams_above_the_batch_size_share_the_token_rate() {
+    let to = start(engine::Options { gap_ms: 5.0, batch: 1, prefill_ms: 0.0, ..fast() }).await;
+    let began = std::time::Instant::now();
+    let streams = [0; 4].map(|_| tokio::spawn(complete(to, "r", request("a", 10))));
+    for stream in streams {
+        assert_eq!(contents(&stream.await.expect("task")).len(), 10);
+    }
+    // Four streams of nine gaps of 5 ms need 180 ms together; unshared they would need 45 ms.
+    assert!(began.elapsed() >= Duration::from_millis(120));
+}
+
+#[tokio::test]
+async fn the_end_of_the_task_closes_open_streams() {
+    let (listener, to) = listener().await;
+    let options = engine::Options { gap_ms: 3_600_000.0, ..fast() };
+    let engine = tokio::spawn(engine::run(listener, options));
+    let stream = tokio::spawn(complete(to, "r", request("a", 4)));
+    while get(to, "/control/counters").await.json()["running"] != 1 {
+        tokio::task::yield_now().await;
+    }
+    engine.abort();
+    // The server may be gone before or after it has sent the headers.
+    let answer = stream.await;
+    assert!(answer.map_or(true, |answer| answer.body.is_none()));
+}
