--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod fault;
 pub mod fleet;
 pub mod platform;
+pub mod proxy;
 pub mod serve;
 pub mod service;
