--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod document;
 pub mod error;
+pub mod lease;
 pub mod platform;
 pub mod resource;
 pub mod revision;
