--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod error;
 pub mod lease;
+pub mod order;
 pub mod platform;
 pub mod resource;
 pub mod revision;
