Wire routing, admission, moves, peers and the operator interface into the daemon

Change: attempts choose version and endpoint by routing and rollout and report back; admission gates each service; peers exchange streams, marks and evidence; the holder of the lease for moves takes the steps; a stop copies and hands over streams; a resumed stream is mirrored or taken over.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP interface towards callers; see `docs/callers.md`.
 
+pub mod admit;
 pub mod body;
 pub mod chat;
 pub mod event;
@@ -18,11 +19,12 @@
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
 
-use crate::claim;
 use crate::daemon::Node;
 use crate::endpoint::answer::REQUEST_ID;
 use crate::error::{Error, Kind, Result};
-use crate::resource::{Catalog, Kind as ResourceKind, Protocol, Spec};
+use crate::membership::Status;
+use crate::resource::{Catalog, Kind as ResourceKind, Protocol, Service, Spec};
+use crate::{admission, claim};
 
 /// Names the header with the time, in milliseconds, that the caller is ready to wait.
 pub const DEADLINE: &str = "x-deadline-ms";
@@ -49,6 +51,42 @@
     pub fn deadline(&self, default_ms: u64) -> Instant {
         self.received + self.patience.unwrap_or(Duration::from_millis(default_ms))
     }
+
+    /// Waits until the request may start.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Overloaded`, `ShareExceeded` or `DeadlineTooShort`; the request was not run.
+    pub async fn admit(
+        &self,
+        node: &Node,
+        name: &Arc<str>,
+        service: &Service,
+        work: u32,
+    ) -> Result<admit::Permit> {
+        let limit = in_flight_limit(node, &self.catalog, name, service);
+        let door = node.admit.door(name, service.in_flight, limit);
+        let share = self.catalog.workspace(&self.workspace).map_or(1, |workspace| workspace.share);
+        let deadline = node.time_of(self.deadline(service.deadline_ms).into_std());
+        let (workspace, priority) = (self.workspace.clone(), self.priority);
+        let ask = admission::Ask { workspace, share, priority, deadline, work };
+        door.enter(node.tick(), node.now(), ask).await
+    }
+}
+
+/// Gives the share of a service's endpoints that this node may fill. Balancers spread requests
+/// unevenly, so a node may use twice its even share.
+fn in_flight_limit(node: &Node, catalog: &Catalog, name: &str, service: &Service) -> u32 {
+    const UNEVEN: u32 = 2;
+    let version = catalog.serving(name).and_then(|name| catalog.version(&name));
+    let Some(version) = version else { return service.in_flight };
+    let concurrency = catalog.pool(&version.pool).map_or(1, |pool| pool.concurrency);
+    let endpoints = node.vms.borrow().iter().filter(|vm| vm.pool == version.pool).count();
+    let endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
+    let nodes = node.members().iter().filter(|member| member.status == Status::Alive).count();
+    let nodes = u32::try_from(nodes).unwrap_or(1).max(1);
+    let even = concurrency.saturating_mul(endpoints).div_ceil(nodes);
+    even.saturating_mul(UNEVEN).clamp(1, service.in_flight.max(1))
 }
 
 pub fn router(node: Arc<Node>) -> Router {
@@ -120,7 +158,7 @@
     }
 }
 
-fn admit_node(node: &Node) -> Result<()> {
+pub fn admit_node(node: &Node) -> Result<()> {
     if node.is_stopping() {
         return Err(Error::new(Kind::Stopping, "this entry VM is shutting down"));
     }
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -2,13 +2,13 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
 
 use axum::extract::Request;
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, Visitor};
+use tokio::time::Instant;
 
 use super::{Context, body, event, identify, pump};
 use crate::daemon::Node;
@@ -18,12 +18,15 @@
 
 /// Names the header by which a caller goes on with a stream whose connection broke.
 const LAST_EVENT_ID: &str = "last-event-id";
+/// Length of an answer for which the caller set no limit, as admission expects it.
+const EXPECTED_TOKENS: u32 = 256;
 
 /// Holds what the relay itself needs from the body; the engine reads the rest.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Head {
     pub model: String,
     pub stream: bool,
+    pub max_tokens: Option<u32>,
 }
 
 /// Answers `POST /v1/chat/completions`.
@@ -38,7 +41,7 @@
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not valid UTF-8"))?;
     let head = parse(text)?;
     let service = model_service(&context, &head.model)?;
-    let accepted = accept(node, &context, &parts.headers, &head, service, text)?;
+    let accepted = accept(node, &context, &head, service, text).await?;
     if head.stream { answer_stream(accepted, 0).await } else { answer_whole(accepted).await }
 }
 
@@ -55,29 +58,38 @@
     service.ok_or_else(|| Error::new(Kind::NotFound, format!("there is no model \"{model}\"")))
 }
 
-/// Opens the journal entry; from here on the request is accepted.
-fn accept(
+/// Waits for admission and opens the journal entry; from here on the request is accepted.
+async fn accept(
     node: &Arc<Node>,
     context: &Context,
-    _headers: &HeaderMap,
     head: &Head,
     service: &Service,
     text: &str,
 ) -> Result<Arc<stream::Entry>> {
-    let deadline = context.patience.unwrap_or(Duration::from_millis(service.deadline_ms));
+    let name: Arc<str> = head.model.as_str().into();
+    let work = head.max_tokens.unwrap_or(EXPECTED_TOKENS);
+    let permit = context.admit(node, &name, service, work).await?;
+    let left = context.deadline(service.deadline_ms).saturating_duration_since(Instant::now());
     let request = stream::Request {
         id: context.id.clone(),
         workspace: context.workspace.clone(),
-        service: head.model.as_str().into(),
+        service: name,
         body: text.into(),
         priority: context.priority,
-        deadline_ms: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         draft: false,
     };
     let entry = node.journal.open(request, Vec::new()).ok_or_else(|| {
         Error::new(Kind::Overloaded, "too many streams are open on this entry VM")
     })?;
-    tokio::spawn(pump::carry(node.clone(), entry.clone()));
+    entry.start_carrying();
+    let (node, carried) = (node.clone(), entry.clone());
+    tokio::spawn(async move {
+        pump::carry(node, carried.clone()).await;
+        if matches!(carried.finish(), Some(Finish::Complete { .. })) {
+            permit.complete(u32::try_from(carried.offset()).unwrap_or(u32::MAX).max(1));
+        }
+    });
     Ok(entry)
 }
 
@@ -117,14 +129,33 @@
     let finish = entry.wait().await;
     drop(reader);
     match finish {
-        Finish::Complete { reason, usage } => {
+        None => {
+            // The answer is not lost: any entry VM gives the rest for this event id.
+            let detail = format!("resume with Last-Event-ID: {}.-1", entry.request.id);
+            Err(Error::new(Kind::StreamMoved, detail))
+        }
+        Some(Finish::Complete { reason, usage }) => {
             let content = entry.tokens().concat();
             let (id, model) = (&entry.request.id, &entry.request.service);
             let body = event::completion(id, model, &content, &reason, &usage);
             Ok(axum::Json(body).into_response())
         }
-        Finish::Failed { kind, detail } => Err(Error::new(kind, &*detail)),
+        Some(Finish::Failed { kind, detail }) => Err(Error::new(kind, &*detail)),
+    }
+}
+
+/// Gives the text of all messages, by which prompts with the same beginning are recognised.
+pub fn prompt(body: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    let messages = value["messages"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let mut text = String::new();
+    for message in messages {
+        if let Some(content) = message["content"].as_str() {
+            text.push_str(content);
+            text.push('\n');
+        }
     }
+    text
 }
 
 /// Builds the body for an engine: the caller's fields, always as a stream, from an offset on.
@@ -160,10 +191,12 @@
         let mut model = None;
         let mut stream = false;
         let mut messages = false;
+        let mut max_tokens = None;
         while let Some(key) = map.next_key::<String>()? {
             match key.as_str() {
                 "model" => model = Some(map.next_value()?),
                 "stream" => stream = map.next_value::<Option<bool>>()?.unwrap_or(false),
+                "max_tokens" => max_tokens = map.next_value()?,
                 "messages" => {
                     map.next_value::<Vec<IgnoredAny>>()?;
                     messages = true;
@@ -175,6 +208,6 @@
             return Err(serde::de::Error::missing_field("messages"));
         }
         let model = model.ok_or_else(|| serde::de::Error::missing_field("model"))?;
-        Ok(Head { model, stream })
+        Ok(Head { model, stream, max_tokens })
     }
 }
--- a/src/caller/event.rs
+++ b/src/caller/event.rs
@@ -100,22 +100,24 @@
     })
 }
 
-/// Gives the reader's steps as body chunks and ends after the finish.
+/// Gives the reader's steps as body chunks and ends after the finish. A stream that goes on at
+/// another node ends with an error, so that the caller's connection breaks and it resumes.
 pub fn body(reader: Reader, encoder: Encoder, first: Bytes, ended: bool) -> axum::body::Body {
     let start = (reader, encoder, Some(first), ended);
     let stream =
         futures_util::stream::unfold(start, async |(mut reader, encoder, first, ended)| {
             if let Some(first) = first {
-                return Some((
-                    Ok::<_, std::convert::Infallible>(first),
-                    (reader, encoder, None, ended),
-                ));
+                return Some((Ok(first), (reader, encoder, None, ended)));
             }
             if ended {
                 return None;
             }
             let offset = reader.offset();
             let part = reader.next().await;
+            if part.moved && part.tokens.is_empty() && part.finish.is_none() {
+                let moved = std::io::Error::other("the stream goes on at another entry VM");
+                return Some((Err(moved), (reader, encoder, None, true)));
+            }
             let bytes = encoder.encode(offset, &part);
             Some((Ok(bytes), (reader, encoder, None, part.finish.is_some())))
         });
--- /dev/null
+++ b/src/daemon/moves.rs
@@ -0,0 +1,153 @@
+//! Runs open moves: every node reports evidence, the lease holder takes the steps.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::Node;
+use crate::lease::{Duty, Keeper};
+use crate::peer::Request;
+use crate::resource::{Phase, Progress, Spec};
+use crate::revision::commit;
+use crate::rollout::{Decision, Step};
+use crate::timeline::Subject;
+use crate::{claim, lease};
+
+/// Names the duty; moves concern all failure domains, so there is one holder.
+const DUTY: &str = "moves";
+const DOMAIN: &str = "all";
+/// Period of reports and decisions.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Time that must be left on the lease when a step is written.
+const MARGIN: Duration = Duration::from_secs(2);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Keeps the lease and carries out the duty while this node holds it.
+pub async fn run(node: Arc<Node>) {
+    let started = Instant::now();
+    let process = format!("{}/{:x}", node.settings.node, node.incarnation);
+    let keeper = Arc::new(Keeper::new(
+        node.client.clone(),
+        Duty::new(DUTY, DOMAIN),
+        process.into(),
+        node.settings.timing.lease_term,
+        Arc::new(move || started.elapsed()),
+    ));
+    let running = keeper.clone();
+    let kept = tokio::spawn(async move { running.run().await });
+    let mut sequence = node.incarnation;
+    let mut stopping = node.stopping.subscribe();
+    loop {
+        let stopped = tokio::time::timeout(PERIOD, stopping.wait_for(|stop| *stop));
+        if stopped.await.is_ok() {
+            break;
+        }
+        sequence += 1;
+        let catalog = node.revision.current();
+        node.observer().sync(&catalog);
+        report(&node, &keeper, sequence).await;
+        if keeper.holder(MARGIN).is_some() {
+            decide(&node, &keeper).await;
+        }
+    }
+    keeper.release();
+    let _ = kept.await;
+}
+
+/// Sends the evidence of this node to the lease holder.
+async fn report(node: &Arc<Node>, keeper: &Keeper, sequence: u64) {
+    let reports = node.observer().reports(&node.settings.node, sequence);
+    if reports.is_empty() {
+        return;
+    }
+    if keeper.holder(Duration::ZERO).is_some() {
+        let mut controller = node.controller();
+        for report in reports {
+            controller.report(report);
+        }
+        return;
+    }
+    let Ok(Some(lease)) = lease::read(&node.client, &Duty::new(DUTY, DOMAIN)).await else { return };
+    let holder = lease.holder.split('/').next().unwrap_or_default();
+    let member = node.members().into_iter().find(|member| *member.node == *holder);
+    let (Some(member), Some(network)) = (member, node.network.get()) else { return };
+    let Ok(bytes) = postcard::to_allocvec(&reports) else { return };
+    let request = Request::ReportEvidence(bytes);
+    if let Err(error) = network.request(member.address, request, REPORT_TIMEOUT).await {
+        log::debug!("rollout: evidence did not reach {holder}: {error}");
+    }
+}
+
+async fn decide(node: &Arc<Node>, keeper: &Keeper) {
+    let catalog = node.revision.current();
+    let now_ms = claim::keeper::unix_ms();
+    let decisions = {
+        let marks = node.marks();
+        node.controller().decide(&catalog, &marks, now_ms)
+    };
+    for decision in decisions {
+        if let Some(mark) = decision.mark.clone() {
+            node.add_marks(vec![mark], "the evidence of all nodes");
+        }
+        let resource = catalog.resources.get(&decision.id);
+        let Some(resource) = resource else { continue };
+        let (Spec::Move(spec), Some(progress)) = (&resource.spec, &resource.status.progress) else {
+            continue;
+        };
+        let Some((next, serving)) = next_progress(&decision, progress, &spec.to, now_ms) else {
+            continue;
+        };
+        // The lease may have run out since the evidence was read.
+        let Some(holder) = keeper.holder(MARGIN) else { return };
+        let recorded =
+            commit::record_progress(&node.client, &decision.id, progress, &next, serving.as_ref());
+        match recorded.await {
+            Ok(_) => announce(node, &decision, &next, holder.fence),
+            Err(failure) => log::warn!("rollout: step of {} not recorded: {failure}", decision.id),
+        }
+    }
+}
+
+fn next_progress(
+    decision: &Decision,
+    progress: &Progress,
+    to: &Arc<str>,
+    now_ms: u64,
+) -> Option<(Progress, Option<Arc<str>>)> {
+    let mut next = Progress { changed_ms: now_ms, ..progress.clone() };
+    match &decision.step {
+        Step::Hold => return None,
+        Step::Raise { share_permille } => {
+            next.share_permille = *share_permille;
+            next.reason = "evidence of the step before is good".into();
+        }
+        Step::Close => {
+            next.share_permille = 1_000;
+            next.phase = Phase::Done;
+            next.reason = "all steps are done".into();
+            return Some((next, Some(to.clone())));
+        }
+        Step::Revert { reason } => {
+            next.share_permille = 0;
+            next.phase = Phase::Reverted;
+            next.reason = reason.clone();
+        }
+    }
+    Some((next, None))
+}
+
+fn announce(node: &Node, decision: &Decision, next: &Progress, fence: u64) {
+    let subject = Subject {
+        move_name: Some(decision.id.name.clone()),
+        service: Some(decision.key.service.clone()),
+        ..Subject::default()
+    };
+    let share = f64::from(next.share_permille) / 10.0;
+    let state = match next.phase {
+        Phase::InProgress => "in progress",
+        Phase::Done => "done",
+        Phase::Reverted => "reverted",
+    };
+    let text = format!("move is {state} at {share}% (lease fence {fence}): {}", next.reason);
+    log::info!("rollout: {}: {text}", decision.id);
+    node.record("rollout", subject, text);
+}
--- /dev/null
+++ b/src/daemon/peers.rs
@@ -0,0 +1,94 @@
+//! Starts the network between daemons and answers what other daemons ask.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::BoxFuture;
+
+use super::Node;
+use crate::membership::Status;
+use crate::peer::{self, Reply, Request};
+use crate::{revision, rollout, stream};
+
+const REFUSED: &str = "this node does not know the request";
+
+/// Starts the network and the loop that keeps the configuration up to date.
+///
+/// # Errors
+///
+/// Fails when the peer address can't be bound.
+pub async fn start(node: &Arc<Node>) -> std::io::Result<()> {
+    let mut config = peer::Config::from_settings(&node.settings);
+    config.incarnation = node.incarnation;
+    let weak = Arc::downgrade(node);
+    let handler: peer::Handler = Arc::new(move |request| match weak.upgrade() {
+        Some(node) => answer(node, request),
+        None => Box::pin(async { Reply::Refused(REFUSED.into()) }),
+    });
+    let weak = Arc::downgrade(node);
+    let marks: peer::MarksHandler = Arc::new(move |marks| {
+        if let Some(node) = weak.upgrade() {
+            node.add_marks(marks, "a peer");
+        }
+    });
+    let network = peer::Network::start(config, node.revision.clone(), handler, marks).await?;
+    let network = Arc::new(network);
+    if node.network.set(network.clone()).is_err() {
+        return Err(std::io::Error::other("the network has been started before"));
+    }
+    let (state, client) = (node.revision.clone(), node.client.clone());
+    let period = node.settings.timing.config_poll;
+    tokio::spawn(revision::run(state, client, network, period, node.incarnation));
+    Ok(())
+}
+
+fn answer(node: Arc<Node>, request: Request) -> BoxFuture<'static, Reply> {
+    Box::pin(async move {
+        match request {
+            Request::FetchStream { id, offset } => stream::remote::serve(&node, &id, offset).await,
+            Request::HandOver(bytes) => stream::remote::receive(&node, &bytes, true),
+            Request::Copy(bytes) => stream::remote::receive(&node, &bytes, false),
+            Request::ReportEvidence(bytes) => report(&node, &bytes),
+            Request::PullConfig { .. } | Request::SyncMembers(_) => Reply::Refused(REFUSED.into()),
+        }
+    })
+}
+
+fn report(node: &Node, bytes: &[u8]) -> Reply {
+    match postcard::from_bytes::<Vec<rollout::Report>>(bytes) {
+        Ok(reports) => {
+            let mut controller = node.controller();
+            for report in reports {
+                controller.report(report);
+            }
+            Reply::Done
+        }
+        Err(error) => Reply::Refused(format!("the report can't be read: {error}").into()),
+    }
+}
+
+/// Keeps the metrics of the network current.
+pub async fn measure(node: Arc<Node>) {
+    const PERIOD: Duration = Duration::from_secs(1);
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let Some(network) = node.network.get() else { continue };
+        use peer::Counter as C;
+        let counters = network.counters();
+        let sum = |names: &[C]| {
+            let total: u64 = names.iter().map(|&name| counters.get(name)).sum();
+            i64::try_from(total).unwrap_or(i64::MAX)
+        };
+        let metrics = &node.metrics;
+        metrics.peer_bytes_sent.set(sum(&[C::DatagramBytesSent, C::StreamBytesSent]));
+        metrics.peer_bytes_received.set(sum(&[C::DatagramBytesReceived, C::StreamBytesReceived]));
+        let dropped: u64 =
+            crate::wire::Error::ALL.iter().map(|&cause| counters.dropped(cause)).sum();
+        metrics.peer_frames_dropped.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let alive = node.members().iter().filter(|member| member.status == Status::Alive).count();
+        metrics.members_alive.set(i64::try_from(alive).unwrap_or(i64::MAX));
+        let revision = node.revision.current().revision;
+        metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        node.journal.sweep(Instant::now(), super::FINISHED_KEEP);
+    }
+}
--- /dev/null
+++ b/src/daemon/vms.rs
@@ -0,0 +1,99 @@
+//! Follows the platform's list of VMs and its reclaim notices.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Node;
+use crate::platform::{Notice, Vm};
+use crate::routing;
+use crate::timeline::Subject;
+
+/// Relative price of a VM by kind; the platform's list carries no price.
+const RECLAIMABLE_COST: u32 = 1;
+const ON_DEMAND_COST: u32 = 3;
+
+/// Polls the list and the notices until the process ends.
+pub async fn follow(node: Arc<Node>) {
+    loop {
+        match node.client.notices().await {
+            Ok(notices) => take_notices(&node, &notices),
+            Err(error) => log::debug!("vms: the notices could not be read: {error}"),
+        }
+        match node.client.vms().await {
+            Ok(vms) => take_vms(&node, vms),
+            Err(error) => log::debug!("vms: the VM list could not be read: {error}"),
+        }
+        tokio::time::sleep(node.settings.timing.vm_poll).await;
+    }
+}
+
+fn take_notices(node: &Arc<Node>, notices: &[Notice]) {
+    for notice in notices {
+        if notice.vm == node.settings.node {
+            if !node.is_stopping() {
+                log::warn!("vms: this VM is reclaimed in {} ms", notice.left_ms);
+                node.reclaim_in(Duration::from_millis(notice.left_ms));
+            }
+        } else {
+            leave(node, &notice.vm, "reclaim notice");
+        }
+    }
+}
+
+fn take_vms(node: &Arc<Node>, vms: Vec<Vm>) {
+    for vm in vms.iter().filter(|vm| vm.leaving) {
+        leave(node, &vm.id, "listed as leaving");
+    }
+    node.directory.retain(|address| vms.iter().any(|vm| vm.address == address));
+    let mut pools: HashMap<Arc<str>, Vec<routing::Endpoint>> = HashMap::new();
+    for vm in vms.iter().filter(|vm| !vm.pool.is_empty() && !vm.leaving) {
+        pools.entry(vm.pool.clone()).or_default().push(endpoint(vm));
+    }
+    let now = node.now();
+    let known: Vec<Arc<str>> = node.tables().keys().cloned().collect();
+    for pool in known {
+        pools.entry(pool).or_default();
+    }
+    for (pool, endpoints) in pools {
+        node.with_table(&pool, |table| table.update(now, endpoints));
+    }
+    node.vms.send_if_modified(|known| {
+        let changed = **known != vms;
+        if changed {
+            *known = Arc::new(vms);
+        }
+        changed
+    });
+}
+
+/// Stops new work to an endpoint and makes its streams move away.
+fn leave(node: &Arc<Node>, vm: &Arc<str>, reason: &str) {
+    if node.is_leaving(vm) {
+        return;
+    }
+    log::info!("vms: endpoint {vm} gets no more work: {reason}");
+    let text = format!("endpoint {vm} gets no more work: {reason}");
+    node.record("vms", Subject::default(), text);
+    let now = node.now();
+    for table in node.tables().values_mut() {
+        table.leave(now, vm);
+    }
+    node.leaving.send_modify(|leaving| {
+        let mut all = Vec::clone(leaving);
+        all.push(vm.clone());
+        *leaving = Arc::new(all);
+    });
+}
+
+fn endpoint(vm: &Vm) -> routing::Endpoint {
+    routing::Endpoint {
+        id: vm.id.clone(),
+        address: vm.address,
+        failure_domain: vm.failure_domain.clone(),
+        region: vm.region.clone(),
+        pool: vm.pool.clone(),
+        version: None,
+        cost: if vm.reclaimable { RECLAIMABLE_COST } else { ON_DEMAND_COST },
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -18,6 +18,7 @@
 use crate::config::Settings;
 use crate::membership::{self, Action, Member};
 use crate::revision;
+use crate::rollout::Mark;
 use crate::wire::Codec;
 
 mod counter;
@@ -27,7 +28,7 @@
 mod stream;
 
 pub use counter::{Counter, Counters};
-pub use message::{Content, Datagram, MARK_TEXT_BYTES, Mark, Reply, Request, digest};
+pub use message::{Content, Datagram, MARK_TEXT_BYTES, Reply, Request, digest};
 pub use stream::Error;
 
 /// Time for one exchange of member lists.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,44 +3,27 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3;
 
 use crate::membership;
 use crate::resource::Catalog;
+use crate::rollout::Mark;
 
-/// Longest text in a mark, in bytes; a longer reason is cut.
+/// Longest reason in a mark on the wire, in bytes.
 pub const MARK_TEXT_BYTES: usize = 200;
 
-/// Says that a version of a service is bad; nodes never take this back.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Mark {
-    pub service: Arc<str>,
-    pub version: Arc<str>,
-    pub reason: Arc<str>,
-}
-
-impl Mark {
-    /// Builds a mark whose texts are cut so that a few of them fit a datagram.
-    pub fn new(service: &str, version: &str, reason: &str) -> Mark {
-        Mark { service: cut(service), version: cut(version), reason: cut(reason) }
-    }
-}
-
-fn cut(text: &str) -> Arc<str> {
-    text[..text.floor_char_boundary(MARK_TEXT_BYTES)].into()
+/// Cuts the reason of a mark, so that a few marks fit a datagram.
+pub(super) fn shorten(mark: &Mark) -> Mark {
+    let reason = &mark.reason[..mark.reason.floor_char_boundary(MARK_TEXT_BYTES)];
+    Mark { key: mark.key.clone(), reason: reason.into() }
 }
 
 /// Gives the digest of a set of marks; neither the order nor the reasons matter, since nodes may
 /// have found the same fault for different reasons.
 pub fn digest<'a>(marks: impl IntoIterator<Item = &'a Mark>) -> u64 {
-    let mut names: Vec<_> =
-        marks.into_iter().map(|mark| (&*mark.service, &*mark.version)).collect();
-    names.sort_unstable();
-    names.dedup();
-    let digests = names.into_iter().map(|(service, version)| {
-        xxh3::xxh3_64_with_seed(version.as_bytes(), xxh3::xxh3_64(service.as_bytes()))
-    });
-    digests.fold(0, |all, one| all ^ one)
+    let mut keys: Vec<_> = marks.into_iter().map(|mark| &mark.key).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys.into_iter().fold(0, |all, key| all ^ key.digest())
 }
 
 /// Holds one UDP message with the hints that every datagram carries.
--- a/src/rollout/mark.rs
+++ b/src/rollout/mark.rs
@@ -34,7 +34,8 @@
         }
     }
 
-    fn digest(&self) -> u64 {
+    /// Gives a digest by which sets of marks are compared.
+    pub fn digest(&self) -> u64 {
         let mut hasher = xxh3::Xxh3::new();
         hasher.update(&self.accepted_ms.to_le_bytes());
         for text in [&self.service, &self.version, &self.name] {
