Add the command-line tool for operators

Operators need one tool for changes, views and the timeline. It tries the named servers in turn and repeats a write with the same operation id, so a lost answer has no second effect.

--- /dev/null
+++ b/src/bin/pomelolink/move.rs
@@ -0,0 +1,57 @@
+//! Usage: pomelolink move SERVICE --from VERSION --to VERSION --within SECONDS [--name NAME]
+//!
+//! Declares a traffic shift with a deadline. `describe move/NAME` shows how far it has come.
+
+use argh::FromArgs;
+use pomelolink::operator::edit::ABSENT;
+use serde_json::json;
+
+use crate::client::Call;
+use crate::config::Config;
+use crate::error::Error;
+use crate::util;
+
+/// Shift the traffic of a service to another version within a deadline.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "move")]
+pub struct Arguments {
+    #[argh(positional)]
+    /// service whose traffic shifts
+    service: String,
+    #[argh(option, arg_name = "VERSION")]
+    /// version that serves now
+    from: String,
+    #[argh(option, arg_name = "VERSION")]
+    /// version that should serve
+    to: String,
+    #[argh(option, arg_name = "SECONDS")]
+    /// seconds from acceptance to the deadline
+    within: u64,
+    #[argh(option)]
+    /// name of the move; the default is SERVICE-to-VERSION
+    name: Option<String>,
+    #[argh(option, arg_name = "ID")]
+    /// operation id of an earlier attempt with an unknown outcome
+    operation: Option<String>,
+}
+
+pub async fn run(config: &Config, arguments: Arguments) -> Result<(), Error> {
+    let Arguments { service, from, to, within, name, operation } = arguments;
+    let name = name.unwrap_or_else(|| format!("{service}-to-{to}"));
+    let operation = util::operation(operation);
+    let client = config.client()?;
+    // A move with the same name must not pass for this one, since its outcome may be an old one.
+    let body = json!({
+        "operation": operation,
+        "resources": [{
+            "kind": "move",
+            "name": name,
+            "spec": { "service": service, "from": from, "to": to, "within_s": within },
+            "resource_version": ABSENT,
+            "file": "command line",
+        }],
+    });
+    let answer = client.send(&Call::post("/v1/apply", &body)).await;
+    let answer = answer.map_err(|error| util::name_operation(error, &operation))?;
+    util::print_changes(&answer, config.json)
+}
--- /dev/null
+++ b/src/bin/pomelolink/status.rs
@@ -0,0 +1,87 @@
+//! Usage: pomelolink status
+//!
+//! Shows the state of each given server and of the moves it knows.
+
+use argh::FromArgs;
+use serde_json::{Value, json};
+
+use crate::client::Call;
+use crate::config::Config;
+use crate::error::Error;
+use crate::util;
+
+/// Show the state of each server.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Arguments {}
+
+pub async fn run(config: &Config, _arguments: Arguments) -> Result<(), Error> {
+    let client = config.client()?;
+    let call = Call::get("/v1/status");
+    let mut reached = false;
+    let mut reports = Vec::new();
+    let mut last = None;
+    for &server in &client.servers {
+        let result = client.send_to(server, &call).await.and_then(|body| {
+            serde_json::from_slice::<Value>(&body)
+                .map_err(|error| Error::Failed(format!("{server}: not JSON: {error}")))
+        });
+        match result {
+            Ok(report) => {
+                reached = true;
+                if !config.json {
+                    show(&report)?;
+                }
+                reports.push(json!({ "server": server, "status": report }));
+            }
+            Err(error) => {
+                if !config.json {
+                    util::print(&format!("{server}: {error}"))?;
+                }
+                reports.push(json!({ "server": server, "error": error.to_string() }));
+                last = Some(error);
+            }
+        }
+    }
+    if config.json && reached {
+        util::print(&Value::from(reports).to_string())?;
+    }
+    match last {
+        Some(error) if !reached => Err(error),
+        _ => Ok(()),
+    }
+}
+
+fn show(report: &Value) -> Result<(), Error> {
+    let ready = match report["reason"].as_str() {
+        None => "ready".to_owned(),
+        Some(reason) => format!("not ready: {reason}"),
+    };
+    util::print(&format!(
+        "{} in {}: revision {}, {ready}",
+        util::text(report, "node"),
+        util::text(report, "failure_domain"),
+        report["revision"]
+    ))?;
+    for name in ["members", "leases"] {
+        for item in util::items(report, name) {
+            util::print(&format!("  {name}: {item}"))?;
+        }
+    }
+    for shift in util::items(report, "moves") {
+        let share = shift["share_permille"].as_u64().unwrap_or(0);
+        util::print(&format!(
+            "  move {}: {} {} -> {} {} at {}.{}%, deadline {}: {}",
+            util::text(shift, "name"),
+            util::text(shift, "service"),
+            util::text(shift, "from"),
+            util::text(shift, "to"),
+            util::text(shift, "phase"),
+            share / 10,
+            share % 10,
+            util::time(shift["deadline_ms"].as_u64().unwrap_or(0)),
+            util::text(shift, "reason")
+        ))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/pomelolink/util.rs
@@ -0,0 +1,170 @@
+//! Small helpers that several commands use.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use pomelolink::document::Mistake;
+use pomelolink::operator::view;
+use pomelolink::resource::{self, Declared, Id};
+use serde_json::{Value, json};
+
+use crate::error::Error;
+
+/// Writes a line to standard output; fails when nobody reads it, for instance after `| head`.
+pub fn print(line: &str) -> Result<(), Error> {
+    writeln!(std::io::stdout(), "{line}")
+        .map_err(|error| Error::Failed(format!("cannot write the output: {error}")))
+}
+
+/// Gives the items of an array field; none when there is no such array.
+pub fn items<'a>(value: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
+    value[name].as_array().into_iter().flatten()
+}
+
+pub fn text<'a>(value: &'a Value, name: &str) -> &'a str {
+    value[name].as_str().unwrap_or("")
+}
+
+/// Gives `KIND/NAME` of a resource in an answer.
+pub fn id(value: &Value) -> String {
+    format!("{}/{}", text(value, "kind"), text(value, "name"))
+}
+
+/// Reads `KIND NAME` or `KIND/NAME`.
+pub fn parse_id(words: &[String]) -> Result<Id, Error> {
+    let joined = words.join("/");
+    let parsed = joined.split_once('/').and_then(|(kind, name)| {
+        let kind = kind.parse().ok()?;
+        resource::is_name(name).then(|| Id::new(kind, name))
+    });
+    parsed.ok_or_else(|| {
+        let kinds = resource::Kind::ALL.map(resource::Kind::as_str).join(", ");
+        Error::Usage(format!("expected KIND/NAME, found \"{joined}\"; kinds are {kinds}"))
+    })
+}
+
+/// Reads a number of seconds with an optional unit `s`, `m` or `h`.
+pub fn parse_duration(text: &str) -> Result<Duration, String> {
+    let units = [('s', 1), ('m', 60), ('h', 3_600)];
+    let unit = units.into_iter().find(|(unit, _)| text.ends_with(*unit));
+    let (number, seconds) = match unit {
+        Some((unit, seconds)) => (text.trim_end_matches(unit), seconds),
+        None => (text, 1),
+    };
+    let number = number.parse::<u64>().ok().and_then(|number| number.checked_mul(seconds));
+    let seconds = number.ok_or_else(|| "expected a duration such as 90, 90s, 10m or 2h".to_owned());
+    seconds.map(Duration::from_secs)
+}
+
+/// Gives the time a duration ago, in milliseconds since the Unix epoch.
+pub fn ms_ago(ago: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.saturating_sub(ago).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Shows a time of a server in UTC.
+pub fn time(wall_ms: u64) -> String {
+    let millis = i64::try_from(wall_ms).ok();
+    let time = millis.and_then(|millis| jiff::Timestamp::from_millisecond(millis).ok());
+    time.map_or_else(|| format!("{wall_ms} ms"), |time| format!("{time:.3}"))
+}
+
+/// Makes an operation id, so that a request can be sent again without a second effect.
+pub fn operation(given: Option<String>) -> String {
+    given.unwrap_or_else(|| format!("cli-{:032x}", rand::random::<u128>()))
+}
+
+/// Reads the declarations of files and of the `.json` files in directories.
+///
+/// # Errors
+///
+/// Fails with every mistake of every file.
+pub fn read_declarations(paths: &[String]) -> Result<Vec<Declared>, Error> {
+    let mut declared = Vec::new();
+    let mut mistakes = Vec::new();
+    for path in paths {
+        for file in list_files(Path::new(path), &mut mistakes) {
+            let name = file.display().to_string();
+            let parsed = match std::fs::read_to_string(&file) {
+                Ok(text) => resource::parse(&name, &text),
+                Err(error) => Err(vec![unreadable(&name, &error)]),
+            };
+            match parsed {
+                Ok(found) => declared.extend(found),
+                Err(found) => mistakes.extend(found),
+            }
+        }
+    }
+    if mistakes.is_empty() { Ok(declared) } else { Err(Error::Mistakes(mistakes)) }
+}
+
+fn list_files(path: &Path, mistakes: &mut Vec<Mistake>) -> Vec<PathBuf> {
+    if !path.is_dir() {
+        return vec![path.to_owned()];
+    }
+    let entries = std::fs::read_dir(path).and_then(Iterator::collect::<Result<Vec<_>, _>>);
+    match entries {
+        Ok(entries) => {
+            let files = entries.into_iter().map(|entry| entry.path());
+            let mut files: Vec<PathBuf> = files
+                .filter(|file| file.extension().is_some_and(|extension| extension == "json"))
+                .collect();
+            files.sort();
+            files
+        }
+        Err(error) => {
+            mistakes.push(unreadable(&path.display().to_string(), &error));
+            Vec::new()
+        }
+    }
+}
+
+fn unreadable(file: &str, error: &std::io::Error) -> Mistake {
+    let message = format!("cannot be read: {error}");
+    Mistake { file: file.into(), line: 1, field: String::new(), message }
+}
+
+/// Gives the JSON form of declarations, with the place of each for the mistakes of the server.
+pub fn encode_declarations(declared: &[Declared], expected: &[(Id, u64)]) -> Vec<Value> {
+    let encode = |found: &Declared| {
+        let version = expected.iter().find(|(id, _)| *id == found.id).map(|(_, version)| version);
+        json!({
+            "kind": found.id.kind,
+            "name": found.id.name,
+            "spec": view::spec(&found.spec),
+            "resource_version": version,
+            "file": found.file,
+            "line": found.line,
+        })
+    };
+    declared.iter().map(encode).collect()
+}
+
+/// Shows the result of a change.
+pub fn print_changes(answer: &Value, json: bool) -> Result<(), Error> {
+    if json {
+        return print(&answer.to_string());
+    }
+    for change in items(answer, "changes") {
+        print(&format!("{} {}", id(change), text(change, "action")))?;
+    }
+    let unchanged = items(answer, "changes").next().is_none();
+    let note = if unchanged { " (no change)" } else { "" };
+    print(&format!("revision {}{note}", answer["revision"]))
+}
+
+/// Tells how to repeat a request that may have taken effect.
+pub fn name_operation(error: Error, operation: &str) -> Error {
+    let hint = format!("`--operation {operation}` repeats the request without a second effect");
+    match error {
+        Error::Unanswered(reason) => Error::Unanswered(format!("{reason}; {hint}")),
+        Error::Refused(status, mut body) if body["error"]["run"] == "unknown" => {
+            let message = format!("{}; {hint}", text(&body["error"], "message"));
+            body["error"]["message"] = message.into();
+            body["operation"] = operation.into();
+            Error::Refused(status, body)
+        }
+        other => other,
+    }
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -9,7 +9,7 @@
 mod input;
 mod read;
 mod timeline;
-mod view;
+pub mod view;
 mod watch;
 mod write;
 
--- a/src/operator/watch.rs
+++ b/src/operator/watch.rs
@@ -70,7 +70,7 @@
         let empty = Catalog::default();
         let complete = old.is_none();
         let old = old.as_deref().unwrap_or(&empty);
-        if old.revision != catalog.revision {
+        if old.revision != catalog.revision && catalog.revision > watch.since {
             let changes = commit::changes(old, &catalog);
             let changes = changes.iter().map(|change| view::change(old, &catalog, change, 0));
             let line = json!({
--- a/src/revision/commit.rs
+++ b/src/revision/commit.rs
@@ -127,8 +127,10 @@
                 conflicts.iter().try_for_each(|conflict| write!(f, " {}", conflict.id))
             }
             Failure::Mismatch => f.write_str("the operation id belongs to another request"),
-            Failure::Busy => f.write_str("too many concurrent changes; nothing was applied"),
-            Failure::NotApplied(reason) => write!(f, "nothing was applied: {reason}"),
+            Failure::Busy => {
+                f.write_str("too many concurrent changes; this attempt applied nothing")
+            }
+            Failure::NotApplied(reason) => write!(f, "this attempt applied nothing: {reason}"),
             Failure::Unknown(reason) => {
                 write!(f, "the outcome is unknown, repeat the same operation: {reason}")
             }
--- a/tests/config_races.rs
+++ b/tests/config_races.rs
@@ -44,7 +44,7 @@
 /// Operators who read the same row version: exactly one of them wins, the others see its change.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn racing_operators() {
-    let (_, client) = workdir::start_platform().await;
+    let (platform, client) = workdir::start_platform().await;
     let mut accepted = 0;
     for name in ["shared", "other-0", "other-1", "other-2"] {
         apply(&client, &format!("start-{name}"), items(&pool(name, 1), None)).await.unwrap();
@@ -55,6 +55,7 @@
         let base = commit::read_base(&client).await.unwrap();
         let version = base.versions[&Id::new(Kind::Pool, "shared")];
         let rivals = random.random_range(2..=3);
+        platform.lost_answers.store(u32::from(random.random_bool(0.25)), Ordering::SeqCst);
         // Each rival changes the shared pool; an unrelated change gets in between now and then.
         let mut tasks = Vec::new();
         for rival in 0..rivals {
--- /dev/null
+++ b/tests/tool_views.rs
@@ -0,0 +1,82 @@
+//! Tests `move`, `get`, `describe`, `watch`, `status` and `replay`: guards against views that hide
+//! the state of a move or miss a revision.
+
+mod workdir;
+
+use workdir::tool::Workdir;
+
+const MOVE: [&str; 10] =
+    ["move", "chat", "--from", "chat-1", "--to", "chat-2", "--within", "600", "--name", "upgrade"];
+
+#[tokio::test]
+async fn moves() {
+    let workdir = Workdir::start().await;
+    workdir.apply_service().await;
+    let accepted = workdir.run(&MOVE).await.done();
+    assert_eq!(accepted, "move/upgrade created\nrevision 2\n");
+    let same_name = workdir.run(&MOVE).await;
+    assert_eq!(same_name.code, 3, "{same_name:#?}");
+    let second = workdir.run(&[&MOVE[..9], &["other"]].concat()).await;
+    assert_eq!(second.code, 1);
+    let line = "command line:1: service: \"upgrade\" is still in progress for this service";
+    assert!(second.stderr.contains(line), "{second:#?}");
+
+    let shown = workdir.run(&["describe", "move/upgrade"]).await.done();
+    assert!(shown.contains("condition: in_progress since 2"), "{shown}");
+    let reverted = workdir.run(&["delete", "move", "upgrade"]).await.done();
+    assert_eq!(reverted, "move/upgrade reverted\nrevision 3\n");
+    let shown = workdir.run(&["get", "move"]).await.done();
+    assert!(shown.contains("reverted 0.0%: reverted by operator wanda"), "{shown}");
+    let deleted = workdir.run(&["delete", "move/upgrade"]).await.done();
+    assert_eq!(deleted, "move/upgrade deleted\nrevision 4\n");
+    let missing = workdir.run(&["describe", "move/upgrade"]).await;
+    assert!(missing.code == 1 && missing.stderr.contains("not_found"), "{missing:#?}");
+}
+
+#[tokio::test]
+async fn watch() {
+    let workdir = Workdir::start().await;
+    workdir.apply_service().await;
+    let words = ["watch", "--since", "1", "--limit", "1", "--json"];
+    let change = async {
+        // The order of the two does not matter: a late watch gets the whole configuration.
+        tokio::task::yield_now().await;
+        workdir.run(&MOVE).await.done();
+    };
+    let (watched, ()) = tokio::join!(workdir.run(&words), change);
+    let line = watched.json();
+    assert_eq!(line["revision"], 2);
+    let changes = line["changes"].as_array().unwrap();
+    let change = changes.iter().find(|change| change["name"] == "upgrade").unwrap();
+    assert_eq!(change["resource"]["status"]["conditions"][0]["type"], "in_progress");
+    let whole = workdir.run(&["watch", "--limit", "1"]).await.done();
+    assert!(whole.starts_with("revision 2 (whole configuration)\n"), "{whole}");
+}
+
+#[tokio::test]
+async fn status() {
+    let workdir = Workdir::start().await;
+    let before = workdir.run(&["status"]).await.done();
+    assert_eq!(before, "node-1 in a: revision 0, not ready: no configuration yet\n");
+    workdir.apply_service().await;
+    workdir.run(&MOVE).await.done();
+    workdir.run(&["watch", "--since", "1", "--limit", "1"]).await.done();
+    let servers = format!("{},127.0.0.1:9", workdir.server);
+    let after = workdir.run_with(workdir::tool::READER, &servers, &["status"]).await.done();
+    assert!(after.starts_with("node-1 in a: revision 2, ready\n"), "{after}");
+    assert!(after.contains("move upgrade: chat chat-1 -> chat-2 in_progress at 0.0%"), "{after}");
+    assert!(after.contains("127.0.0.1:9: "), "{after}");
+    let none = workdir.run_with(workdir::tool::READER, "127.0.0.1:9", &["status"]).await;
+    assert_eq!(none.code, 4, "{none:#?}");
+}
+
+#[tokio::test]
+async fn replay() {
+    let workdir = Workdir::start().await;
+    workdir.write("good.trace", "{\"at\": 1}\n{\"at\": 2}\n");
+    let good = workdir.run(&["replay", "good.trace"]).await.done();
+    assert!(good.contains("2 records are well-formed; decisions are not replayed"), "{good}");
+    workdir.write("bad.trace", "{\"at\": 1}\n{\"at\":\n");
+    let bad = workdir.run(&["replay", "bad.trace"]).await;
+    assert!(bad.code == 1 && bad.stderr.contains("bad.trace:2:"), "{bad:#?}");
+}
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the helper")]
 
 pub mod platform;
+pub mod tool;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/tests/workdir/platform.rs
+++ b/tests/workdir/platform.rs
@@ -20,6 +20,8 @@
     pub down: AtomicBool,
     /// Number of committed transactions whose answer is lost.
     pub lost_answers: AtomicU32,
+    /// Loses the answer of the next committed transaction and turns `down` on.
+    pub down_after_commit: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -88,6 +90,10 @@
             }
         }
     }
+    if platform.down_after_commit.swap(false, Ordering::SeqCst) {
+        platform.down.store(true, Ordering::SeqCst);
+        return StatusCode::GATEWAY_TIMEOUT.into_response();
+    }
     let lost = &platform.lost_answers;
     if lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok() {
         return StatusCode::GATEWAY_TIMEOUT.into_response();
