--- a/src/bin/pomelolink/error.rs
+++ b/src/bin/pomelolink/error.rs
@@ -14,6 +14,8 @@
     Failed(String),
     /// Mistakes that the tool found itself.
     Mistakes(Vec<Mistake>),
+    /// Rules that a replay broke; the report itself has been written.
+    Violated(Vec<String>),
     /// Answer of a server with its HTTP status.
     Refused(u16, Value),
     /// No server could be connected to, so nothing was sent.
@@ -25,7 +27,7 @@
 impl Error {
     fn code(&self) -> u8 {
         match self {
-            Error::Failed(_) | Error::Mistakes(_) => 1,
+            Error::Failed(_) | Error::Mistakes(_) | Error::Violated(_) => 1,
             Error::Usage(_) => 2,
             Error::Refused(409, _) => 3,
             Error::Refused(..) => 1,
@@ -54,6 +56,7 @@
             | Error::Failed(text)
             | Error::Unreachable(text)
             | Error::Unanswered(text) => f.write_str(text),
+            Error::Violated(rules) => write!(f, "violated: {}", rules.join("; ")),
             Error::Mistakes(mistakes) => {
                 for mistake in mistakes {
                     writeln!(f, "{mistake}")?;
@@ -89,7 +92,8 @@
 /// Reports an error; programs get it on standard output as JSON.
 pub fn finish(error: &Error, json: bool) -> ExitCode {
     let code = error.code();
-    if json {
+    // A replay has written its violations as a part of its report.
+    if json && !matches!(error, Error::Violated(_)) {
         let mut body = match error {
             Error::Refused(_, body) if body.is_object() => body.clone(),
             other => json!({ "error": { "message": other.to_string() } }),
--- a/src/bin/pomelolink/replay.rs
+++ b/src/bin/pomelolink/replay.rs
@@ -1,48 +1,95 @@
-//! Usage: pomelolink replay TRACE
+//! Usage: pomelolink replay TRACE [--workers COUNT] [--nodes COUNT] [--seed NUMBER]
 //!
-//! Checks a trace file of JSON lines.
+//! Replays a trace through the decisions of this version, with modelled endpoints in place of real
+//! ones, and checks the rules that hold for every replay. Needs no server.
+
+use std::fs::File;
+use std::io::BufReader;
 
 use argh::FromArgs;
+use pomelolink::trace;
+use pomelolink::trace::replay::Settings;
+use pomelolink::trace::report::{self, Report};
 use serde_json::{Value, json};
 
 use crate::config::Config;
 use crate::error::Error;
 use crate::util;
 
-/// Check a trace file.
+/// Replay a trace through the decisions and check the outcome.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "replay")]
 pub struct Arguments {
     #[argh(positional, arg_name = "TRACE")]
     /// file with one JSON record per line
     trace: String,
+    #[argh(option, arg_name = "COUNT", default = "Settings::default().workers")]
+    /// modelled assistant workers (18)
+    workers: usize,
+    #[argh(option, arg_name = "COUNT", default = "Settings::default().nodes")]
+    /// modelled entry VMs (5)
+    nodes: usize,
+    #[argh(option, arg_name = "NUMBER", default = "Settings::default().seed")]
+    /// seed of the model (1)
+    seed: u64,
 }
 
 pub fn run(config: &Config, arguments: Arguments) -> Result<(), Error> {
-    let path = arguments.trace;
-    let text = std::fs::read_to_string(&path)
-        .map_err(|error| Error::Failed(format!("{path}: cannot be read: {error}")))?;
-    let records = replay(&path, &text)?;
+    let Arguments { trace: path, workers, nodes, seed } = arguments;
+    if workers == 0 || nodes == 0 {
+        return Err(Error::Usage("a replay needs at least one worker and one node".to_owned()));
+    }
+    let records = read(&path)?;
+    let settings = Settings { workers, nodes, seed, ..Settings::default() };
+    let report = trace::replay::run(&settings, &records);
+    let violations = report::check(&report, &report::Expected::default());
+    let summary = summary(&report, &violations);
     if config.json {
-        let report = json!({ "trace": path, "records": records, "replayed": false });
-        return util::print(&report.to_string());
+        util::print(&summary.to_string())?;
+    } else {
+        for (name, value) in summary.as_object().into_iter().flatten() {
+            util::print(&format!("{name}: {value}"))?;
+        }
     }
-    util::print(&format!("{path}: {records} records are well-formed; decisions are not replayed"))
+    if violations.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Violated(violations))
 }
 
-/// Checks that each line is a JSON object; gives the number of records.
-fn replay(path: &str, text: &str) -> Result<usize, Error> {
-    let mut records = 0;
-    for (index, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
-        let value: Value = serde_json::from_str(line)
-            .map_err(|error| Error::Failed(format!("{path}:{}: {error}", index + 1)))?;
-        if !value.is_object() {
-            return Err(Error::Failed(format!("{path}:{}: expected an object", index + 1)));
+/// Reads all records; fails with every line that is none.
+fn read(path: &str) -> Result<Vec<trace::Record>, Error> {
+    let file = File::open(path)
+        .map_err(|error| Error::Failed(format!("{path}: cannot be read: {error}")))?;
+    let mut records = Vec::new();
+    let mut mistakes = Vec::new();
+    for record in trace::Reader::new(BufReader::new(file)) {
+        match record {
+            Ok(record) => records.push(record),
+            Err(mistake) => mistakes.push(format!("{path}:{}: {}", mistake.line, mistake.message)),
         }
-        records += 1;
     }
-    if records == 0 {
-        return Err(Error::Failed(format!("{path}: holds no records")));
+    match (mistakes.is_empty(), records.is_empty()) {
+        (false, _) => Err(Error::Failed(mistakes.join("\n"))),
+        (true, true) => Err(Error::Failed(format!("{path}: holds no records"))),
+        (true, false) => Ok(records),
     }
-    Ok(records)
+}
+
+fn summary(report: &Report, violations: &[String]) -> Value {
+    let ms = |quantile| report.first_token(quantile).as_millis() as u64;
+    json!({
+        "requests": report.requests,
+        "answered": report.answered,
+        "in_time": report.in_time,
+        "refused": report.refused,
+        "failed": report.failed,
+        "lost": report.lost,
+        "ran_twice": report.ran_twice,
+        "attempts": report.attempts,
+        "prompt_tokens": report.prompt_tokens,
+        "recomputed_tokens": report.recomputed,
+        "first_token_ms": { "p50": ms(0.5), "p95": ms(0.95) },
+        "violations": violations,
+    })
 }
--- a/tests/config_races.rs
+++ b/tests/config_races.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use pomelolink::operator::edit::{self, Item};
-use pomelolink::platform::Client;
+use pomelolink::platform::{self, Client};
 use pomelolink::resource::{self, Catalog, Id, Kind, Phase, Progress, Spec};
 use pomelolink::revision::commit::{self, Base, Committed, Failure};
 use rand::rngs::StdRng;
@@ -132,15 +132,16 @@
 /// Operation rows must not grow without bound, neither by changes nor by requests without effect.
 #[tokio::test]
 async fn operation_rows() {
-    let (platform, client) = workdir::start_platform().await;
+    let (_, client) = workdir::start_platform().await;
     for number in 0..1_100_u64 {
         let wanted = items(&pool("a", 1 + number / 2), None);
         apply(&client, &format!("op-{number}"), wanted).await.unwrap();
     }
-    let kept = platform.keys(commit::OPERATION_PREFIX);
+    let prefixes = vec![commit::OPERATION_PREFIX.to_owned()];
+    let kept = client.read(&platform::Query { keys: Vec::new(), prefixes }).await.unwrap();
     assert!(kept.len() <= commit::OPERATIONS_KEPT, "{} rows", kept.len());
     for number in 200..1_100 {
-        assert!(kept.contains(&commit::operation_key(&format!("op-{number}"))), "{number}");
+        assert!(kept.contains_key(&commit::operation_key(&format!("op-{number}"))), "{number}");
     }
 }
 
--- a/tests/timeline_merge.rs
+++ b/tests/timeline_merge.rs
@@ -111,10 +111,11 @@
 /// The loop must write what is left when the process stops.
 #[tokio::test]
 async fn flush_at_stop() {
-    let (platform, client) = workdir::start_platform().await;
+    let (_, client) = workdir::start_platform().await;
     let buffer = Arc::new(Buffer::new("n/1".into(), 1_000, 10));
     buffer.record(1_000, draft("last words"));
     let period = std::time::Duration::from_secs(3_600);
-    timeline::flush(buffer, client, period, async {}).await;
-    assert_eq!(platform.objects(), ["timeline/n_1/0000000001000-0000000000"]);
+    timeline::flush(buffer, client.clone(), period, async {}).await;
+    let objects = client.list_objects("").await.unwrap();
+    assert_eq!(objects, ["timeline/n_1/0000000001000-0000000000"]);
 }
--- a/tests/tool_views.rs
+++ b/tests/tool_views.rs
@@ -3,6 +3,10 @@
 
 mod workdir;
 
+use std::time::Duration;
+
+use pomelolink::trace;
+use pomelolink::trace::generate::{self, Generator};
 use workdir::tool::Workdir;
 
 const MOVE: [&str; 10] =
@@ -73,10 +77,23 @@
 #[tokio::test]
 async fn replay() {
     let workdir = Workdir::start().await;
-    workdir.write("good.trace", "{\"at\": 1}\n{\"at\": 2}\n");
-    let good = workdir.run(&["replay", "good.trace"]).await.done();
-    assert!(good.contains("2 records are well-formed; decisions are not replayed"), "{good}");
+    let length = Duration::from_secs(120);
+    let company = generate::jernhjem();
+    let start = Duration::from_secs(13 * 3_600);
+    let mut text = Vec::new();
+    let mut count = 0;
+    for record in Generator::new(company, 7, start, length) {
+        trace::write(&mut text, &record).unwrap();
+        count += 1;
+    }
+    workdir.write("good.trace", &String::from_utf8(text).unwrap());
+    let words = ["replay", "good.trace", "--workers", "18", "--json"];
+    let report = workdir.run(&words).await.json();
+    assert_eq!((&report["requests"], &report["lost"]), (&count.into(), &0.into()));
+    assert_eq!(workdir.run(&words).await.json(), report, "a seed gives one outcome");
     workdir.write("bad.trace", "{\"at\": 1}\n{\"at\":\n");
     let bad = workdir.run(&["replay", "bad.trace"]).await;
-    assert!(bad.code == 1 && bad.stderr.contains("bad.trace:2:"), "{bad:#?}");
+    assert_eq!(bad.code, 1);
+    assert!(bad.stderr.contains("bad.trace:1:") && bad.stderr.contains("bad.trace:2:"), "{bad:#?}");
+    assert_eq!(workdir.run(&["replay", "good.trace", "--nodes", "0"]).await.code, 2);
 }
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -20,9 +20,8 @@
 ]"#;
 
 pub async fn start_platform() -> (Arc<platform::Platform>, Client) {
-    let shared = Arc::new(platform::Platform::default());
-    let address = platform::start(shared.clone()).await;
-    (shared, Client::new(address, Duration::from_secs(5)))
+    let (platform, address) = platform::start().await;
+    (platform, Client::new(address, Duration::from_secs(5)))
 }
 
 pub fn operation(id: &str) -> Operation {
