--- a/src/operator/timeline.rs
+++ b/src/operator/timeline.rs
@@ -1,6 +1,7 @@
 //! Handlers that show the events of this node and the batches of all nodes.
 
 use axum::Json;
+use axum::extract::rejection::QueryRejection;
 use axum::extract::{self, Path, Query};
 use axum::response::{IntoResponse, Response};
 use http::HeaderMap;
@@ -26,10 +27,11 @@
 /// Shows the events in the ring of this node; `dropped` counts those that no batch holds either.
 pub async fn live(
     extract::State(state): extract::State<State>,
-    Query(filter): Query<Filter>,
+    filter: Result<Query<Filter>, QueryRejection>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
     access::check(&state.tokens, &headers, Role::Read)?;
+    let Query(filter) = filter?;
     let mut events = state.timeline.since(filter.since_ms);
     events.retain(|event| event.subject.matches(&filter.subject));
     let body = json!({
@@ -43,10 +45,11 @@
 /// Lists the batches that can hold events from a time on.
 pub async fn batches(
     extract::State(state): extract::State<State>,
-    Query(filter): Query<Filter>,
+    filter: Result<Query<Filter>, QueryRejection>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
     access::check(&state.tokens, &headers, Role::Read)?;
+    let Query(filter) = filter?;
     let keys = state.client.list_objects(timeline::OBJECT_PREFIX).await;
     let keys = keys.map_err(|failure| Error::new(Kind::PlatformDown, failure.to_string()))?;
     Ok(Json(json!({ "batches": timeline::keys_since(keys, filter.since_ms) })).into_response())
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -1,6 +1,7 @@
 //! JSON forms of resources, conflicts and refusals on the operator interface.
 
 use axum::Json;
+use axum::extract::rejection::QueryRejection;
 use axum::response::{IntoResponse, Response};
 use http::HeaderValue;
 use http::header::RETRY_AFTER;
@@ -64,6 +65,12 @@
     }
 }
 
+impl From<QueryRejection> for Refusal {
+    fn from(rejection: QueryRejection) -> Refusal {
+        Refusal::new(Kind::BadRequest, rejection.body_text())
+    }
+}
+
 impl From<Error> for Refusal {
     fn from(error: Error) -> Refusal {
         Refusal { error, extra: json!({}) }
--- a/src/operator/watch.rs
+++ b/src/operator/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::extract::rejection::QueryRejection;
 use axum::extract::{self, Query};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
@@ -43,10 +44,11 @@
 /// newer than `since`, since a node keeps no older revisions to compare with.
 pub async fn watch(
     extract::State(state): extract::State<State>,
-    Query(query): Query<Since>,
+    query: Result<Query<Since>, QueryRejection>,
     headers: HeaderMap,
 ) -> Result<Response, Refusal> {
     access::check(&state.tokens, &headers, Role::Read)?;
+    let Query(query) = query?;
     let receiver = state.revision.subscribe();
     let until = Instant::now() + OPEN;
     let watch = Watch { receiver, known: None, since: query.since, until };
--- a/tests/config_races.rs
+++ b/tests/config_races.rs
@@ -2,6 +2,7 @@
 
 mod workdir;
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -13,6 +14,8 @@
 use rand::{RngExt, SeedableRng};
 
 const RACES: u64 = 1_000;
+/// Platforms on which the races are run side by side.
+const SHARDS: u64 = 4;
 
 fn items(text: &str, expected: Option<u64>) -> Vec<Item> {
     let declared = resource::parse("test.json", text).unwrap();
@@ -44,13 +47,21 @@
 /// Operators who read the same row version: exactly one of them wins, the others see its change.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn racing_operators() {
+    let shard = |number| race(number * RACES / SHARDS..(number + 1) * RACES / SHARDS);
+    let shards: Vec<_> = (0..SHARDS).map(|number| tokio::spawn(shard(number))).collect();
+    for shard in shards {
+        shard.await.unwrap();
+    }
+}
+
+async fn race(seeds: Range<u64>) {
     let (platform, client) = workdir::start_platform().await;
     let mut accepted = 0;
     for name in ["shared", "other-0", "other-1", "other-2"] {
         apply(&client, &format!("start-{name}"), items(&pool(name, 1), None)).await.unwrap();
         accepted += 1;
     }
-    for seed in 0..RACES {
+    for seed in seeds {
         let mut random = StdRng::seed_from_u64(seed);
         let base = commit::read_base(&client).await.unwrap();
         let version = base.versions[&Id::new(Kind::Pool, "shared")];
