Test the command-line tool against real daemons

The tool was tested only against operator servers inside the test process. The new test applies a change through one entry VM, sees it in effect on another, kills the first one and goes on through the other.

--- /dev/null
+++ b/tests/tool_daemon.rs
@@ -0,0 +1,65 @@
+//! Runs the tool against real daemons: guards against an accepted change that does not reach every
+//! entry VM, and against a killed entry VM that hides its events or blocks the operator.
+
+mod common;
+
+use std::process::{Output, Stdio};
+
+use serde_json::Value;
+use standin::fleet::{Fleet, OPERATOR_TOKEN};
+use tokio::process::Command;
+
+async fn run(fleet: &Fleet, servers: &[usize], words: &[&str]) -> Output {
+    let servers = servers.iter().map(|&index| fleet.entries[index].operators.to_string());
+    Command::new(env!("CARGO_BIN_EXE_pomelolink"))
+        .args(words)
+        .current_dir(&fleet.dir)
+        .env("POMELOLINK_SERVER", servers.collect::<Vec<_>>().join(","))
+        .env("POMELOLINK_TOKEN", OPERATOR_TOKEN)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await
+        .unwrap()
+}
+
+async fn done(fleet: &Fleet, servers: &[usize], words: &[&str]) -> String {
+    let output = run(fleet, servers, words).await;
+    assert!(output.status.success(), "{words:?}: {output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+#[tokio::test]
+async fn changes_reach_all_nodes() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut fleet = common::start(&dir, 2, 1, &[]).await.unwrap();
+    let version = r#"{"kind": "version", "name": "chat-2", "service": "chat", "pool": "engines"}"#;
+    std::fs::write(fleet.dir.join("version.json"), version).unwrap();
+    done(&fleet, &[0], &["apply", "-f", "version.json"]).await;
+    let words = ["move", "chat", "--from", "chat-1", "--to", "chat-2", "--within", "600"];
+    done(&fleet, &[0], &[&words[..], &["--name", "m"]].concat()).await;
+
+    // The other entry VM shows the move once the revision is in effect there.
+    let follow = ["watch", "--json", "--limit", "1", "--since", "2"];
+    let line: Value = serde_json::from_str(&done(&fleet, &[1], &follow).await).unwrap();
+    let changes = line["changes"].as_array().unwrap();
+    assert!(changes.iter().any(|change| change["name"] == "m"), "{line}");
+
+    // The tool goes on to the next server when the first one has been killed.
+    fleet.entries[0].process.kill();
+    let reverted = done(&fleet, &[0, 1], &["delete", "move/m"]).await;
+    assert!(reverted.starts_with("move/m reverted\n"), "{reverted}");
+    let described = done(&fleet, &[0, 1], &["describe", "move/m"]).await;
+    assert!(described.contains("reverted by operator"), "{described}");
+    let status = done(&fleet, &[0, 1], &["status"]).await;
+    assert!(status.contains("Connection refused") && status.contains(", ready"), "{status}");
+    let unreachable = run(&fleet, &[0], &["status"]).await;
+    assert_eq!(unreachable.status.code(), Some(4), "{unreachable:?}");
+
+    let story = done(&fleet, &[0, 1], &["timeline", "--move", "m"]).await;
+    assert!(story.contains("move/m reverted by"), "{story}");
+    fleet.restart(0).unwrap();
+    fleet.all_ready().await.unwrap();
+    let status = done(&fleet, &[0, 1], &["status"]).await;
+    assert_eq!(status.matches(", ready").count(), 2, "{status}");
+}
