--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -98,9 +98,10 @@
     let (id, offset) = parsed.ok_or_else(|| {
         Error::new(Kind::BadRequest, "the Last-Event-ID is not one of this service")
     })?;
-    let entry = node.journal.get(id).filter(|entry| entry.request.workspace == context.workspace);
-    let entry =
-        entry.ok_or_else(|| Error::new(Kind::StreamGone, "the stream is not known any more"))?;
+    let entry = stream::remote::find(node, id).await?;
+    if entry.request.workspace != context.workspace {
+        return Err(Error::new(Kind::StreamGone, "the stream is not known any more"));
+    }
     answer_stream(entry, offset).await
 }
 
--- a/src/stream/remote.rs
+++ b/src/stream/remote.rs
@@ -167,8 +167,14 @@
     let request = peer::Request::FetchStream { id: id.into(), offset };
     let network = node.network.get()?;
     match network.request(member.address, request, FETCH_TIMEOUT).await {
-        Ok(Reply::Payload(bytes)) => postcard::from_bytes(&bytes).ok(),
-        Ok(_) => None,
+        Ok(Reply::Payload(bytes)) => {
+            let decoded = postcard::from_bytes(&bytes);
+            decoded.map_err(|error| log::warn!("stream: {id} can't be read: {error}")).ok()
+        }
+        Ok(reply) => {
+            log::debug!("stream: {} does not know {id}: {reply:?}", member.node);
+            None
+        }
         Err(error) => {
             log::debug!("stream: {} did not answer for {id}: {error}", member.node);
             None
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -245,6 +245,44 @@
         }
     }
 
+    /// Calls the operator interface of an entry VM with the token that may write.
+    pub async fn operate(
+        &self,
+        index: usize,
+        method: &str,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> std::io::Result<client::Answer> {
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", token.as_str()), ("content-type", "application/json")];
+        let body = if body.is_null() { String::new() } else { body.to_string() };
+        client::call(self.entries[index].operators, method, path, &headers, body).await
+    }
+
+    /// Applies declarations, written as in a declaration file, through an entry VM.
+    pub async fn apply(
+        &self,
+        index: usize,
+        declarations: &serde_json::Value,
+    ) -> std::io::Result<client::Answer> {
+        let split = |declaration: &serde_json::Value| {
+            let mut spec = declaration.as_object().cloned().unwrap_or_default();
+            let kind = spec.remove("kind").unwrap_or_default();
+            let name = spec.remove("name").unwrap_or_default();
+            json!({ "kind": kind, "name": name, "spec": spec })
+        };
+        let items = declarations.as_array().map(Vec::as_slice).unwrap_or_default();
+        let resources: Vec<_> = items.iter().map(split).collect();
+        self.operate(index, "POST", "/v1/apply", &json!({ "resources": resources })).await
+    }
+
+    /// Gives the status of a move: phase, share in permille and reason.
+    pub async fn progress(&self, index: usize, name: &str) -> std::io::Result<serde_json::Value> {
+        let path = format!("/v1/resources/move/{name}");
+        let answer = self.operate(index, "GET", &path, &serde_json::Value::Null).await?;
+        Ok(answer.json()["status"]["progress"].clone())
+    }
+
     /// Calls a control path of the platform stand-in.
     pub async fn control(
         &self,
@@ -324,6 +362,28 @@
         Ok(())
     }
 
+    /// Waits until every entry VM sees all others alive.
+    pub async fn joined(&self) -> std::io::Result<()> {
+        let end = Instant::now() + START_TIMEOUT;
+        for index in 0..self.entries.len() {
+            while self.alive(index).await < self.entries.len() {
+                if Instant::now() > end {
+                    return Err(std::io::Error::other("the entry VMs did not find each other"));
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Counts the members that an entry VM sees alive.
+    async fn alive(&self, index: usize) -> usize {
+        let answer = self.operate(index, "GET", "/v1/status", &serde_json::Value::Null).await;
+        let status = answer.map(|answer| answer.json()).unwrap_or_default();
+        let members = status["members"].as_array().map(Vec::as_slice).unwrap_or_default();
+        members.iter().filter(|member| member["status"] == "alive").count()
+    }
+
     /// Gives the log of an entry VM or a stand-in.
     pub fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
