Leave short moves the time that their steps take

Cause: a move within 15 s was taken back at a share of 80%: the steps above the canary got at most half of the move, 7.5 s, but three steps of 2.5 s decided every second need up to 10.5 s. Change: the ramp takes at least that long, up to 80% of the move.

--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -25,6 +25,10 @@
 /// Shortest time at a share: a configuration is in effect on all nodes within 2 s, and reports
 /// arrive every second.
 const STEP_MS: u64 = 2_500;
+/// Longest time from the end of a step to the decision, which is made every second.
+const DECISION_MS: u64 = 1_000;
+/// Steps above the canary share.
+const LATER_STEPS: u64 = STEPS_PERMILLE.len() as u64 - 1;
 /// Requests to the new version that fully confirm a step, and the last step.
 const STEP_REQUESTS: f64 = 100.0;
 const LAST_STEP_REQUESTS: f64 = 300.0;
@@ -213,7 +217,8 @@
     }
 
     /// Time planned for the steps above the canary: half as much again as they need at the
-    /// present rate of requests, at least a tenth and at most half of the whole move.
+    /// present rate of requests, at least a tenth and at most half of the whole move,
+    /// but never less than the steps take.
     fn ramp_ms(&self) -> u64 {
         let within = (self.deadline_ms - self.accepted_ms) as f64;
         let elapsed = self.now_ms.saturating_sub(self.accepted_ms).max(1) as f64;
@@ -225,7 +230,10 @@
                 (self.needed_requests(*share) / rate.max(1e-9)).max(STEP_MS as f64)
             })
             .sum();
-        (needed * 1.5).clamp(within * 0.1, within * 0.5) as u64
+        let shortest = LATER_STEPS * (STEP_MS + DECISION_MS);
+        let planned = (needed * 1.5).clamp(within * 0.1, within * 0.5);
+        // A short move has no time to wait at the canary share for half of it.
+        planned.max((shortest as f64).min(within * 0.8)) as u64
     }
 
     fn requests(&self) -> f64 {
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -280,7 +280,13 @@
     pub async fn progress(&self, index: usize, name: &str) -> std::io::Result<serde_json::Value> {
         let path = format!("/v1/resources/move/{name}");
         let answer = self.operate(index, "GET", &path, &serde_json::Value::Null).await?;
-        Ok(answer.json()["status"]["progress"].clone())
+        let status = &answer.json()["status"];
+        let condition = &status["conditions"][0];
+        Ok(json!({
+            "phase": condition["type"],
+            "reason": condition["reason"],
+            "share_permille": status["share_permille"],
+        }))
     }
 
     /// Calls a control path of the platform stand-in.
--- a/tests/other_entry.rs
+++ b/tests/other_entry.rs
@@ -28,7 +28,8 @@
     let last = seen.ids.last().cloned().unwrap_or_default();
     let other = fleet.entries[1].callers;
     let resumed =
-        common::send(other, "POST", "/v1/chat/completions", &[("last-event-id", &last)], "").await?;
+        common::send(other, "POST", "/v1/chat/completions", &[("last-event-id", &last)], "")
+            .await?;
     assert_eq!(resumed.status, 200, "{}\n{}", resumed.text(), fleet.log("entry-2"));
     let rest = common::events(&resumed.text());
     assert!(rest.done, "{}", resumed.text());
