Predict service times per class of requests

Change: admission measures each class on its own and needs no work estimate; the replay gives none, and takes deadlines from the services.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -78,7 +78,8 @@
 fn overload(name: &str, company: &Company, workers: usize) {
     let length = Duration::from_secs(1_500);
     let warm_up = Duration::from_secs(600);
-    let base = Settings { workers, warm_up, ..Settings::default() };
+    let deadlines = company.deadlines();
+    let base = Settings { workers, warm_up, deadlines, ..Settings::default() };
     let rate = capacity(company, &base, length);
     let own = trace(company, 1.0, length);
     let offered = own.iter().map(|record| f64::from(record.output_length)).sum::<f64>();
@@ -125,7 +126,9 @@
 fn capacity(company: &Company, base: &Settings, length: Duration) -> f64 {
     let records = trace(company, 3.0, length);
     let forever = Duration::from_secs(1 << 30);
-    let settings = Settings { admission: false, model_deadline: forever, ..base.clone() };
+    let deadlines = Vec::new();
+    let settings =
+        Settings { admission: false, model_deadline: forever, deadlines, ..base.clone() };
     let report = replay::run(&settings, &records);
     report.useful_tokens as f64 / report.measured.as_secs_f64()
 }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -16,7 +16,7 @@
 use crate::error::Kind;
 
 pub use limit::Limit;
-use pace::Pace;
+use pace::Paces;
 use queue::{Queue, Waiting};
 
 /// Highest priority; requests of priority 0 are shed first.
@@ -42,7 +42,10 @@
     pub priority: u8,
     /// Time by which the response must be complete.
     pub deadline: Duration,
-    /// Expected work in any unit that service time is proportional to, such as output tokens.
+    /// Groups requests that take similar times, such as the service or the route.
+    pub class: Arc<str>,
+    /// Expected work in any unit that service time is proportional to, such as output tokens, or 1
+    /// for all requests of the class if nothing is known.
     pub work: u32,
 }
 
@@ -66,18 +69,19 @@
 #[derive(Debug)]
 struct Running {
     workspace: Arc<str>,
+    class: Arc<str>,
     work: u32,
     since: Duration,
 }
 
-/// Decides which requests of one service start, wait or are refused.
+/// Decides which requests to one group of endpoints start, wait or are refused.
 #[derive(Debug)]
 pub struct Gate {
     settings: Settings,
     limit: u32,
     running: HashMap<u64, Running>,
     queue: Queue,
-    pace: Pace,
+    paces: Paces,
     shed: Actions,
 }
 
@@ -88,7 +92,7 @@
             limit: settings.in_flight.max(1),
             running: HashMap::new(),
             queue: Queue::default(),
-            pace: Pace::default(),
+            paces: Paces::default(),
             shed: Actions::new(),
         }
     }
@@ -106,7 +110,7 @@
         self.queue.len()
     }
 
-    /// Decides about a new request. Call [`Gate::ready`] afterwards: a more important request may
+    /// Decides about a new request; ids are unique. Call [`Gate::ready`] afterwards: a more important request may
     /// have taken the place of a waiting one.
     pub fn arrive(&mut self, now: Duration, id: u64, ask: Ask) -> Verdict {
         if ask.deadline <= now {
@@ -119,7 +123,7 @@
         }
         let free = self.running.len() < self.limit as usize && self.queue.len() == 0;
         let wait = if free { Duration::ZERO } else { self.predicted_wait(&ask) };
-        let service = self.pace.service(ask.work);
+        let service = self.paces.service(&ask.class, ask.work);
         if now + wait + service > ask.deadline {
             return Verdict::Refuse(Kind::DeadlineTooShort);
         }
@@ -147,7 +151,9 @@
     pub fn ready(&mut self, now: Duration) -> Actions {
         let mut actions = std::mem::take(&mut self.shed);
         while let Some(waiting) = self.queue.take_expired(now) {
-            let kind = if waiting.ask.deadline <= now + self.pace.service(waiting.ask.work) {
+            let kind = if waiting.ask.deadline
+                <= now + self.paces.service(&waiting.ask.class, waiting.ask.work)
+            {
                 Kind::DeadlineTooShort
             } else {
                 self.queue.refusal(&waiting.ask.workspace, self.limit)
@@ -156,7 +162,8 @@
         }
         while self.running.len() < self.limit as usize {
             let Some(waiting) = self.queue.take_next() else { break };
-            if now + self.pace.service(waiting.ask.work) > waiting.ask.deadline {
+            if now + self.paces.service(&waiting.ask.class, waiting.ask.work) > waiting.ask.deadline
+            {
                 actions.push(Action::Refuse(waiting.id, Kind::DeadlineTooShort));
                 continue;
             }
@@ -171,11 +178,11 @@
         self.queue.next_expiry()
     }
 
-    /// Records a completed request and the work it really took, from which rates are measured.
-    pub fn finished(&mut self, now: Duration, id: u64, work: u32) {
+    /// Records a completed request, from which rates are measured.
+    pub fn finished(&mut self, now: Duration, id: u64) {
         if let Some(running) = self.running.remove(&id) {
             self.queue.stopped(&running.workspace);
-            self.pace.sample(running.work, work, now.saturating_sub(running.since));
+            self.paces.sample(&running.class, running.work, now.saturating_sub(running.since));
         }
     }
 
@@ -190,13 +197,18 @@
 
     fn start(&mut self, now: Duration, id: u64, ask: &Ask) {
         self.queue.started(ask);
-        let running = Running { workspace: ask.workspace.clone(), work: ask.work, since: now };
+        let running = Running {
+            workspace: ask.workspace.clone(),
+            class: ask.class.clone(),
+            work: ask.work,
+            since: now,
+        };
         self.running.insert(id, running);
     }
 
     fn predicted_wait(&self, ask: &Ask) -> Duration {
         let turns = self.queue.turns_before(ask);
-        self.pace.mean().mul_f64(turns / f64::from(self.limit))
+        self.paces.mean().mul_f64(turns / f64::from(self.limit))
     }
 
     /// Removes the waiting request that matters least and gives the reason for its refusal.
--- a/src/admission/pace.rs
+++ b/src/admission/pace.rs
@@ -1,11 +1,49 @@
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Weight of a new sample in the running means.
 const GAIN: f64 = 1.0 / 32.0;
 
-/// Measures service times, in seconds, and the work that requests take.
+/// Classes that are measured on their own; requests of further ones count as the mean request.
+const MAX_CLASSES: usize = 256;
+
+/// Measures all requests of a gate, and those of each class.
 #[derive(Debug, Default)]
-pub(super) struct Pace {
+pub(super) struct Paces {
+    all: Pace,
+    classes: HashMap<Arc<str>, Pace>,
+}
+
+impl Paces {
+    pub fn sample(&mut self, class: &Arc<str>, work: u32, elapsed: Duration) {
+        self.all.sample(work, elapsed);
+        if let Some(pace) = self.classes.get_mut(class) {
+            pace.sample(work, elapsed);
+        } else if self.classes.len() < MAX_CLASSES {
+            self.classes.entry(class.clone()).or_default().sample(work, elapsed);
+        }
+    }
+
+    /// Gives the mean service time over all classes.
+    pub fn mean(&self) -> Duration {
+        self.all.mean()
+    }
+
+    /// Predicts the service time of a request. A class that is not measured yet counts as fast, so
+    /// that some of its requests are accepted and measured.
+    pub fn service(&self, class: &str, work: u32) -> Duration {
+        match self.classes.get(class) {
+            Some(pace) => pace.service(work),
+            None if self.classes.len() < MAX_CLASSES => Duration::ZERO,
+            None => self.all.service(work),
+        }
+    }
+}
+
+/// Measures service times, in seconds, and the work that requests are expected to take.
+#[derive(Debug, Default)]
+struct Pace {
     elapsed: f64,
     work: f64,
     /// Mean deviation of the time per unit of work, relative to the mean.
@@ -14,10 +52,11 @@
 }
 
 impl Pace {
-    /// Records a request that was expected to take `expected` units and took `work`.
-    pub fn sample(&mut self, expected: u32, work: u32, elapsed: Duration) {
+    /// Records a request that was expected to take `work` units. The expectation may be off by any
+    /// constant factor, since the time is measured against it.
+    fn sample(&mut self, work: u32, elapsed: Duration) {
         let elapsed = elapsed.as_secs_f64();
-        let work = f64::from(work.max(expected.min(1)).max(1));
+        let work = f64::from(work.max(1));
         self.samples = self.samples.saturating_add(1);
         // The first samples count fully, so that an early mean is not a mean with zero.
         let gain = GAIN.max(1.0 / f64::from(self.samples));
@@ -29,12 +68,12 @@
     }
 
     /// Gives the mean service time; zero as long as nothing has been measured.
-    pub fn mean(&self) -> Duration {
+    fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.elapsed.max(0.0))
     }
 
     /// Predicts the service time of a request, with the usual deviation as a margin.
-    pub fn service(&self, work: u32) -> Duration {
+    fn service(&self, work: u32) -> Duration {
         if self.samples == 0 {
             return Duration::ZERO;
         }
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -33,6 +33,12 @@
     fn is_active(&self) -> bool {
         self.running > 0 || !self.waiting.is_empty()
     }
+
+    /// Tells whether the workspace runs and asks for more than its share.
+    fn is_above(&self, fair: f64) -> bool {
+        let wanted = f64::from(self.running) + self.waiting.len() as f64;
+        wanted > (fair * self.weight).ceil()
+    }
 }
 
 /// Holds waiting requests and gives workspaces weighted fair shares of the starts.
@@ -128,9 +134,10 @@
     /// displace all others by calling everything important. Among their requests the least
     /// important goes first, then the latest.
     pub fn take_least_important(&mut self, limit: u32) -> Option<Waiting> {
-        let rated = self.shares.iter().filter_map(|(name, share)| {
+        let fair = self.fair_count(limit);
+        let rated = self.shares.values().filter_map(|share| {
             let ((Reverse(priority), arrival), waiting) = share.waiting.last_key_value()?;
-            Some((!self.is_over(name, limit), *priority, Reverse(*arrival), waiting.id))
+            Some((!share.is_above(fair), *priority, Reverse(*arrival), waiting.id))
         });
         let (.., id) = rated.min()?;
         self.remove(id)
@@ -138,21 +145,16 @@
 
     /// Tells why a request of a workspace is refused while the service is overloaded.
     pub fn refusal(&self, workspace: &Arc<str>, limit: u32) -> Kind {
-        if self.is_over(workspace, limit) { Kind::ShareExceeded } else { Kind::Overloaded }
+        let fair = self.fair_count(limit);
+        let above = self.shares.get(workspace).is_some_and(|share| share.is_above(fair));
+        if above { Kind::ShareExceeded } else { Kind::Overloaded }
     }
 
-    /// Tells whether a workspace runs and asks for more than its share of the limit, while others
-    /// compete with it.
-    fn is_over(&self, workspace: &Arc<str>, limit: u32) -> bool {
-        let Some(share) = self.shares.get(workspace) else { return false };
+    /// Gives the requests, running and waiting, that one unit of weight stands for.
+    fn fair_count(&self, limit: u32) -> f64 {
         let active = self.shares.values().filter(|share| share.is_active());
         let total: f64 = active.map(|share| share.weight).sum();
-        if total <= share.weight {
-            return false;
-        }
-        let wanted = f64::from(share.running) + share.waiting.len() as f64;
-        let all = f64::from(limit) + self.len() as f64;
-        wanted > (all * share.weight / total).ceil()
+        (f64::from(limit) + self.len() as f64) / total.max(1.0)
     }
 
     fn share(&mut self, ask: &Ask) -> &mut Share {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -116,7 +116,9 @@
         self.leaving.retain(|_, since| now.saturating_sub(*since) < LEAVING_AGE);
         let mut old: HashMap<_, _> =
             self.rows.drain(..).map(|row| (row.endpoint.id.clone(), row)).collect();
+        let mut ids = HashSet::new();
         let listed = endpoints.into_iter();
+        let listed = listed.filter(|endpoint| ids.insert(endpoint.id.clone()));
         let staying = listed.filter(|endpoint| !self.leaving.contains_key(&endpoint.id)).collect();
         let endpoints = subset(&self.place, staying);
         let total_cost: f64 = endpoints.iter().map(|endpoint| f64::from(endpoint.cost)).sum();
--- a/src/trace/generate.rs
+++ b/src/trace/generate.rs
@@ -34,6 +34,8 @@
     pub message: (u32, u32),
     /// Range of the tokens of a response.
     pub response: (u32, u32),
+    /// Time that callers allow for a complete response, about twice that of the longest one.
+    pub deadline: Duration,
 }
 
 /// Describes the demand of one company.
@@ -69,6 +71,7 @@
             turns: 4.0,
             message: (30, 250),
             response: (60, 350),
+            deadline: Duration::from_secs(35),
         },
         Talk {
             service: "report",
@@ -77,6 +80,7 @@
             turns: 1.5,
             message: (200, 1_500),
             response: (600, 1_800),
+            deadline: Duration::from_secs(180),
         },
     ];
     Company {
@@ -104,6 +108,7 @@
             turns: 3.0,
             message: (100, 600),
             response: (300, 900),
+            deadline: Duration::from_secs(90),
         },
         Talk {
             service: "chat",
@@ -112,6 +117,7 @@
             turns: 5.0,
             message: (20, 150),
             response: (40, 250),
+            deadline: Duration::from_secs(25),
         },
         Talk {
             service: "tag",
@@ -120,6 +126,7 @@
             turns: 1.0,
             message: (30, 200),
             response: (2, 10),
+            deadline: Duration::from_secs(10),
         },
     ];
     Company {
@@ -144,6 +151,11 @@
 }
 
 impl Company {
+    /// Gives the time that callers allow per model service.
+    pub fn deadlines(&self) -> Vec<(Arc<str>, Duration)> {
+        self.talks.iter().map(|talk| (talk.service.into(), talk.deadline)).collect()
+    }
+
     /// Gives the demand at a time, relative to the peak of the first day.
     pub fn demand(&self, at: Duration) -> f64 {
         let seconds = at.as_secs_f64();
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod simulation;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::engine;
@@ -58,9 +59,9 @@
     /// Delay of cache events, and the part of them that is lost.
     pub event_delay: Duration,
     pub event_loss: f64,
-    /// Time that callers allow for a model request and per response token, and for a plain request.
+    /// Time that callers allow per service, and for the services that are not listed.
+    pub deadlines: Vec<(Arc<str>, Duration)>,
     pub model_deadline: Duration,
-    pub token_deadline: Duration,
     pub plain_deadline: Duration,
     /// Part of the trace before which completions are not counted as goodput.
     pub warm_up: Duration,
@@ -83,14 +84,25 @@
             leaving: None,
             event_delay: Duration::from_secs(2),
             event_loss: 0.1,
-            model_deadline: Duration::from_secs(10),
-            token_deadline: Duration::from_millis(100),
+            deadlines: Vec::new(),
+            model_deadline: Duration::from_secs(120),
             plain_deadline: Duration::from_secs(2),
             warm_up: Duration::ZERO,
         }
     }
 }
 
+impl Settings {
+    /// Gives the time that the caller of a request allows.
+    fn allowed(&self, record: &Record) -> Duration {
+        if !record.is_model() {
+            return self.plain_deadline;
+        }
+        let listed = self.deadlines.iter().find(|(service, _)| *service == record.service);
+        listed.map_or(self.model_deadline, |(_, deadline)| *deadline)
+    }
+}
+
 /// Replays records in order of time and reports what became of them.
 pub fn run(settings: &Settings, records: &[Record]) -> Report {
     Simulation::new(settings, records).run()
--- a/src/trace/replay/simulation.rs
+++ b/src/trace/replay/simulation.rs
@@ -162,11 +162,7 @@
 
     fn arrive(&mut self, now: Duration, index: usize) {
         let record = &self.records[index];
-        let allowed = if record.is_model() {
-            self.settings.model_deadline + self.settings.token_deadline * record.output_length
-        } else {
-            self.settings.plain_deadline
-        };
+        let allowed = self.settings.allowed(record);
         let node = self.random.random_range(0..self.nodes.len());
         let deadline = now + allowed;
         self.report.requests += 1;
@@ -183,7 +179,8 @@
             share: 1,
             priority: record.priority,
             deadline,
-            work: record.output_length.max(1),
+            class: record.service.clone(),
+            work: 1,
         };
         let kind = self.kind(index);
         match self.service(index).gate.arrive(now, index as u64, ask) {
@@ -390,10 +387,9 @@
             }
         }
         if self.settings.admission {
-            let work = self.records[index].output_length.max(1);
             let gate = &mut self.service(index).gate;
             match kind {
-                None => gate.finished(now, index as u64, work),
+                None => gate.finished(now, index as u64),
                 Some(_) => gate.cancelled(index as u64),
             }
         }
