--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -7,9 +7,13 @@
 /// Weight of a new sample in the recent latency.
 const RECENT: f64 = 0.1;
 
-/// Weight of a new sample above the baseline; the baseline has to follow a lasting change, such as
-/// longer prompts, but not an episode of queueing.
-const RISE: f64 = 0.0005;
+/// Weight of a new sample above the baseline. Only samples with few requests in flight count, since
+/// with a full limit the baseline would follow the queueing that it is compared with.
+const RISE: f64 = 0.01;
+
+/// Limit up to which all samples have few requests in flight; the smallest limit that the headroom
+/// and the gradient allow is 4.
+const FEW: f64 = 5.0;
 
 /// Part of the way to the computed limit that one sample moves.
 const STEP: f64 = 0.1;
@@ -45,11 +49,17 @@
             self.baseline = latency;
         }
         self.recent += (latency - self.recent) * RECENT;
-        let weight = if self.recent < self.baseline { RECENT } else { RISE };
-        self.baseline += (self.recent - self.baseline) * weight;
-        let gradient = (TOLERANCE * self.baseline / self.recent).clamp(0.5, 1.0);
         // A limit that is not reached says nothing about whether a higher one would be right.
         let unused = f64::from(in_flight) < self.limit / 2.0;
+        let weight = if self.recent < self.baseline {
+            RECENT
+        } else if unused || self.limit <= FEW {
+            RISE
+        } else {
+            0.0
+        };
+        self.baseline += (self.recent - self.baseline) * weight;
+        let gradient = (TOLERANCE * self.baseline / self.recent).clamp(0.5, 1.0);
         let headroom = if unused { 0.0 } else { self.limit.sqrt() };
         let target = self.limit * gradient + headroom;
         self.limit += (target - self.limit) * STEP;
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -38,6 +38,13 @@
     pub part: f64,
 }
 
+/// Stops the first worker without notice for a time.
+#[derive(Debug, Clone, Copy)]
+pub struct Crash {
+    pub from: Duration,
+    pub until: Duration,
+}
+
 /// Describes the modelled system and the decisions in use.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -54,6 +61,7 @@
     pub admission: bool,
     pub retries: Retries,
     pub fault: Option<Fault>,
+    pub crash: Option<Crash>,
     /// Time at which the first worker begins to leave.
     pub leaving: Option<Duration>,
     /// Delay of cache events, and the part of them that is lost.
@@ -81,6 +89,7 @@
             admission: true,
             retries: Retries::Budget(retry::Policy::default()),
             fault: None,
+            crash: None,
             leaving: None,
             event_delay: Duration::from_secs(2),
             event_loss: 0.1,
--- a/src/trace/replay/fleet.rs
+++ b/src/trace/replay/fleet.rs
@@ -124,7 +124,8 @@
     /// Tells whether the load of an endpoint, with one more request, is within the bound.
     pub fn is_within_bound(&self, now: Duration, listed: &[Arc<str>], id: &str) -> bool {
         let loads = listed.iter().filter_map(|id| self.table.load_of(now, id));
-        let (count, total) = loads.fold((0, 0.0), |(count, total), load| (count + 1, total + load));
+        let (count, total) =
+            loads.fold((0, 0.0), |(count, total), load| (count + 1, total + load.floor()));
         let bound = (1.25 * (total + 1.0) / f64::from(count.max(1))).ceil();
         self.table.load_of(now, id).is_none_or(|load| load.floor() + 1.0 <= bound)
     }
--- a/src/trace/replay/simulation.rs
+++ b/src/trace/replay/simulation.rs
@@ -1,3 +1,5 @@
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
@@ -6,11 +8,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::Settings;
 use super::fleet::{self, MODEL, Node, PLAIN, PLAIN_SERVICE, PLAIN_SLOTS, Service};
-use super::{Retries, Settings};
 use crate::admission::{Action, Ask, Verdict};
-use crate::error::{Kind, Run};
-use crate::retry::{self, Decision};
+use crate::error::Kind;
+use crate::retry;
 use crate::trace::Record;
 use crate::trace::engine::{self, Engine};
 use crate::trace::report::Report;
@@ -31,9 +33,12 @@
     First(usize),
     Done(usize),
     Failed(usize, bool),
+    /// The worker refused the connection.
+    Refused(usize),
     Cached(usize, u64),
     Expire(usize, usize),
     Leave,
+    Crash,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +70,7 @@
     sent: Duration,
     /// Requests that the node had in flight at the endpoint when it sent this one.
     beside: u32,
+    ended: bool,
 }
 
 /// Runs one replay: a queue of events over nodes and engines.
@@ -120,6 +126,9 @@
         if let Some(leaving) = self.settings.leaving {
             self.at(leaving, Event::Leave);
         }
+        if let Some(crash) = self.settings.crash {
+            self.at(crash.from, Event::Crash);
+        }
         let mut now = Duration::ZERO;
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             now = at;
@@ -129,13 +138,15 @@
                 Event::Hedge(request) => self.hedge(now, request),
                 Event::First(attempt) => self.first(now, attempt),
                 Event::Done(attempt) => self.done(now, attempt),
-                Event::Failed(attempt, ran) => self.failed(now, attempt, ran),
+                Event::Failed(attempt, ran) => self.failed(now, attempt, ran, false),
+                Event::Refused(attempt) => self.failed(now, attempt, false, true),
                 Event::Cached(engine, block) => self.cached(now, engine, block),
                 Event::Expire(node, kind) => {
                     self.nodes[node].services[kind].timer = None;
                     self.ready(now, node, kind);
                 }
                 Event::Leave => self.leave(now),
+                Event::Crash => self.crash(now),
             }
         }
         self.finish(now)
@@ -230,10 +241,11 @@
         let chosen =
             chosen.or_else(|| service.choose(now, settings, listed, blocks, &[], &mut self.random));
         let Some(id) = chosen else { return self.end(now, index, Some(Kind::NoEndpoint)) };
-        if settings.choice == super::Choice::Affinity
-            && exclude.is_empty()
-            && !service.is_within_bound(now, listed, &id)
-        {
+        // After a crash the mean is taken with or without the worker, whether it is left out or not.
+        let crashed = settings.crash.is_some_and(|crash| now >= crash.from) && kind == MODEL;
+        let within = service.is_within_bound(now, listed, &id)
+            || crashed && service.is_within_bound(now, &listed[1..], &id);
+        if settings.choice == super::Choice::Affinity && exclude.is_empty() && !within {
             self.report.above_bound += 1;
         }
         service.table.started(now, &id);
@@ -255,11 +267,22 @@
         request.tried.push(id.clone());
         let load = self.service(index).table.load_of(now, &id).unwrap_or(0.0);
         let attempt = self.attempts.len();
-        self.attempts.push(Attempt { request: index, engine, id, sent: now, beside: load as u32 });
+        self.attempts.push(Attempt {
+            request: index,
+            engine,
+            id,
+            sent: now,
+            beside: load as u32,
+            ended: false,
+        });
         if self.random.random::<f64>() < fault {
             let ran = self.random.random::<f64>() < 0.5;
             return self.at(now + FAILURE, Event::Failed(attempt, ran));
         }
+        if self.is_crashed(now, engine) {
+            self.report.refused_connections += 1;
+            return self.at(now + FAILURE, Event::Refused(attempt));
+        }
         self.requests[index].runs += 1;
         let after = {
             let lookup = self.records[index].is_lookup();
@@ -327,7 +350,10 @@
     }
 
     fn first(&mut self, now: Duration, attempt: usize) {
-        let Attempt { request: index, engine, id, sent, beside } = &self.attempts[attempt];
+        if self.attempts[attempt].ended {
+            return;
+        }
+        let Attempt { request: index, engine, id, sent, beside, .. } = &self.attempts[attempt];
         let (index, sent, beside, id) = (*index, *sent, *beside, id.clone());
         let engine = &self.engines[*engine];
         let (running, queued) = (engine.running as u32, engine.queue.len() as u32);
@@ -344,6 +370,9 @@
     }
 
     fn done(&mut self, now: Duration, attempt: usize) {
+        if std::mem::replace(&mut self.attempts[attempt].ended, true) {
+            return;
+        }
         let Attempt { request: index, engine, id, sent, .. } = &self.attempts[attempt];
         let (index, engine, id, sent) = (*index, *engine, id.clone(), *sent);
         let service = self.service(index);
@@ -396,86 +425,4 @@
         let (node, kind) = (self.requests[index].node, self.kind(index));
         self.ready(now, node, kind);
     }
-
-    /// Handles a failure that the service behind the endpoint caused; it says nothing about the
-    /// endpoint, so routing does not hide the effect of the retries.
-    fn failed(&mut self, now: Duration, attempt: usize, ran: bool) {
-        let (index, id) = (self.attempts[attempt].request, self.attempts[attempt].id.clone());
-        self.service(index).table.cancelled(&id);
-        self.requests[index].runs += u32::from(ran);
-        if self.requests[index].outcome != Outcome::Open {
-            return;
-        }
-        let request = &self.requests[index];
-        let attempt = retry::Attempt {
-            number: request.attempts,
-            run: if ran { Run::Unknown } else { Run::No },
-            idempotent: self.is_idempotent(index),
-            deadline: request.deadline,
-            expected: Duration::ZERO,
-        };
-        match self.decide(now, index, attempt) {
-            Decision::Resend(delay) => self.at(now + delay, Event::Send(index)),
-            Decision::Stop(_) => self.end(now, index, Some(Kind::EndpointFailed)),
-        }
-    }
-
-    fn decide(&mut self, now: Duration, index: usize, attempt: retry::Attempt) -> Decision {
-        let kind = self.kind(index);
-        let service = &mut self.nodes[self.requests[index].node].services[kind];
-        match self.settings.retries {
-            Retries::Budget(policy) => {
-                policy.decide(now, attempt, &mut service.budget, &mut self.random)
-            }
-            Retries::Fixed(resends) => {
-                let policy = retry::Policy { attempts: resends + 1, ..retry::Policy::default() };
-                let mut unlimited = retry::Budget::new(now, 0.0, 1.0);
-                policy.decide(now, attempt, &mut unlimited, &mut self.random)
-            }
-        }
-    }
-
-    fn hedge(&mut self, now: Duration, index: usize) {
-        let Retries::Budget(policy) = self.settings.retries else { return };
-        let request = &self.requests[index];
-        if request.outcome != Outcome::Open || request.attempts != 1 {
-            return;
-        }
-        let (started, deadline) = (request.started, request.deadline);
-        let service = self.service(index);
-        let Service { latency, budget, .. } = service;
-        if policy.hedge(now, started, deadline, latency, true, budget) {
-            self.send(now, index);
-        }
-    }
-
-    fn leave(&mut self, now: Duration) {
-        let Some(id) = self.listed[MODEL].first().cloned() else { return };
-        for node in &mut self.nodes {
-            node.services[MODEL].table.leave(now, &id);
-            // The list of VMs lags behind and still names the endpoint.
-            let lagging = fleet::endpoints(self.settings, MODEL);
-            node.services[MODEL].table.update(now, lagging);
-        }
-        self.left.insert(id);
-    }
-
-    fn fault_part(&self, now: Duration) -> f64 {
-        let fault = self.settings.fault.filter(|fault| (fault.from..fault.until).contains(&now));
-        fault.map_or(0.0, |fault| fault.part)
-    }
-
-    fn finish(mut self, now: Duration) -> Report {
-        let last = self.records.last().map_or(0, |record| record.timestamp);
-        let lost = self.requests.iter().filter(|request| request.outcome == Outcome::Open);
-        self.report.lost = lost.count() as u64;
-        let indexed = self.requests.iter().enumerate();
-        let twice =
-            indexed.filter(|(index, request)| request.runs > 1 && !self.is_idempotent(*index));
-        self.report.ran_twice = twice.count() as u64;
-        self.report.measured = Duration::from_millis(last).saturating_sub(self.settings.warm_up);
-        self.report.first_token.sort();
-        self.report.ended = now;
-        self.report
-    }
 }
--- a/src/trace/report.rs
+++ b/src/trace/report.rs
@@ -22,6 +22,8 @@
     /// Choices at which the load was above 1.25 times the mean, rounded up.
     pub above_bound: u64,
     pub attempts: u64,
+    /// Attempts at a worker that had crashed.
+    pub refused_connections: u64,
     /// Attempts made for requests that arrived while the fault was active, and those requests.
     pub fault_attempts: u64,
     pub fault_requests: u64,
