--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -19,8 +19,16 @@
 const LENGTH: Duration = Duration::from_secs(5_400);
 
 fn main() {
+    println!(
+        "The traces are generated: 5 workspaces per company (45, 30, 15, 6 and 4% of demand),"
+    );
+    println!("one system prompt per workspace and service, 40 or 60 documents per system prompt,");
+    println!("then turns that repeat the conversation so far; each request reaches a random node.");
+    println!("\"recomputed\" counts prompt tokens in blocks that some worker had computed before;");
+    println!("\"computed\" also counts the first time, which no choice of endpoint can avoid.");
     prefixes("jernhjem", &generate::jernhjem(), 18);
     prefixes("montaggio", &generate::montaggio(), 9);
+    seeds();
     overload("jernhjem", &generate::jernhjem(), 6);
     overload("montaggio", &generate::montaggio(), 3);
     amplification();
@@ -34,6 +42,31 @@
     Generator::new(company, SEED, START, length).collect()
 }
 
+/// Repeats the comparison with other seeds and times of day, which the policy was not tuned on.
+fn seeds() {
+    println!("affinity relative to least in flight, 45 min: recomputed tokens, first token p95");
+    println!("  seed  from   jernhjem         montaggio");
+    for (seed, hour) in [(1, 3), (2, 8), (3, 13), (4, 18), (5, 22)] {
+        let ratios =
+            [(generate::jernhjem(), 18), (generate::montaggio(), 9)].map(|(company, workers)| {
+                let start = Duration::from_secs(hour * 3_600);
+                let length = Duration::from_secs(2_700);
+                let records: Vec<_> = Generator::new(company, seed, start, length).collect();
+                let run = |choice| {
+                    let settings =
+                        Settings { choice, workers, seed, admission: false, ..Settings::default() };
+                    replay::run(&settings, &records)
+                };
+                let (least, affinity) = (run(Choice::LeastInFlight), run(Choice::Affinity));
+                let recomputed = affinity.recomputed as f64 / least.recomputed.max(1) as f64;
+                let first = affinity.first_token(0.95).as_secs_f64()
+                    / least.first_token(0.95).as_secs_f64();
+                format!("{recomputed:.3}  {first:.3}{}", violations(&affinity))
+            });
+        println!("  {seed:4} {hour:02}:00   {}     {}", ratios[0], ratios[1]);
+    }
+}
+
 fn prefixes(name: &str, company: &Company, workers: usize) {
     let records = trace(company, 1.0, LENGTH);
     let model = records.iter().filter(|record| record.is_model()).count();
