Let estimates without samples fade and refuse hopeless waits at once

Cause: a class of requests whose estimate exceeded its deadline was refused forever while other classes kept the gate busy; a request whose predicted wait exceeds the wait limit waited for nothing. Change: an estimate halves per 10 s plus twice the service time without samples; a predicted wait above the limit is a refusal.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -123,7 +123,7 @@
         }
         let free = self.running.len() < self.limit as usize && self.queue.len() == 0;
         let wait = if free { Duration::ZERO } else { self.predicted_wait(&ask) };
-        let service = self.paces.service(&ask.class, ask.work);
+        let service = self.paces.service(now, &ask.class, ask.work);
         if now + wait + service > ask.deadline {
             return Verdict::Refuse(Kind::DeadlineTooShort);
         }
@@ -131,6 +131,9 @@
             self.start(now, id, &ask);
             return Verdict::Admit;
         }
+        if wait > self.settings.wait {
+            return Verdict::Refuse(self.queue.refusal(&ask.workspace, self.limit));
+        }
         let latest = (now + self.settings.wait).min(ask.deadline.saturating_sub(service));
         let waiting = Waiting { id, ask, latest };
         self.queue.insert(waiting);
@@ -152,7 +155,7 @@
         let mut actions = std::mem::take(&mut self.shed);
         while let Some(waiting) = self.queue.take_expired(now) {
             let kind = if waiting.ask.deadline
-                <= now + self.paces.service(&waiting.ask.class, waiting.ask.work)
+                <= now + self.paces.service(now, &waiting.ask.class, waiting.ask.work)
             {
                 Kind::DeadlineTooShort
             } else {
@@ -162,7 +165,8 @@
         }
         while self.running.len() < self.limit as usize {
             let Some(waiting) = self.queue.take_next() else { break };
-            if now + self.paces.service(&waiting.ask.class, waiting.ask.work) > waiting.ask.deadline
+            if now + self.paces.service(now, &waiting.ask.class, waiting.ask.work)
+                > waiting.ask.deadline
             {
                 actions.push(Action::Refuse(waiting.id, Kind::DeadlineTooShort));
                 continue;
@@ -182,7 +186,7 @@
     pub fn finished(&mut self, now: Duration, id: u64) {
         if let Some(running) = self.running.remove(&id) {
             self.queue.stopped(&running.workspace);
-            self.paces.sample(&running.class, running.work, now.saturating_sub(running.since));
+            self.paces.sample(now, &running.class, running.work, now.saturating_sub(running.since));
         }
     }
 
--- a/src/admission/pace.rs
+++ b/src/admission/pace.rs
@@ -8,6 +8,11 @@
 /// Classes that are measured on their own; requests of further ones count as the mean request.
 const MAX_CLASSES: usize = 256;
 
+/// Time, beyond twice the mean service time, in which an estimate without new samples halves. A
+/// class whose estimate is above its deadline gets no samples while its requests are refused, and
+/// would otherwise be refused forever.
+const FADE: Duration = Duration::from_secs(10);
+
 /// Measures all requests of a gate, and those of each class.
 #[derive(Debug, Default)]
 pub(super) struct Paces {
@@ -16,12 +21,12 @@
 }
 
 impl Paces {
-    pub fn sample(&mut self, class: &Arc<str>, work: u32, elapsed: Duration) {
-        self.all.sample(work, elapsed);
+    pub fn sample(&mut self, now: Duration, class: &Arc<str>, work: u32, elapsed: Duration) {
+        self.all.sample(now, work, elapsed);
         if let Some(pace) = self.classes.get_mut(class) {
-            pace.sample(work, elapsed);
+            pace.sample(now, work, elapsed);
         } else if self.classes.len() < MAX_CLASSES {
-            self.classes.entry(class.clone()).or_default().sample(work, elapsed);
+            self.classes.entry(class.clone()).or_default().sample(now, work, elapsed);
         }
     }
 
@@ -32,11 +37,11 @@
 
     /// Predicts the service time of a request. A class that is not measured yet counts as fast, so
     /// that some of its requests are accepted and measured.
-    pub fn service(&self, class: &str, work: u32) -> Duration {
+    pub fn service(&self, now: Duration, class: &str, work: u32) -> Duration {
         match self.classes.get(class) {
-            Some(pace) => pace.service(work),
+            Some(pace) => pace.service(now, work),
             None if self.classes.len() < MAX_CLASSES => Duration::ZERO,
-            None => self.all.service(work),
+            None => self.all.service(now, work),
         }
     }
 }
@@ -49,12 +54,15 @@
     /// Mean deviation of the time per unit of work, relative to the mean.
     deviation: f64,
     samples: u32,
+    /// Time of the last sample.
+    sampled: Duration,
 }
 
 impl Pace {
     /// Records a request that was expected to take `work` units. The expectation may be off by any
     /// constant factor, since the time is measured against it.
-    fn sample(&mut self, work: u32, elapsed: Duration) {
+    fn sample(&mut self, now: Duration, work: u32, elapsed: Duration) {
+        self.sampled = now;
         let elapsed = elapsed.as_secs_f64();
         let work = f64::from(work.max(1));
         self.samples = self.samples.saturating_add(1);
@@ -73,11 +81,14 @@
     }
 
     /// Predicts the service time of a request, with the usual deviation as a margin.
-    fn service(&self, work: u32) -> Duration {
+    fn service(&self, now: Duration, work: u32) -> Duration {
         if self.samples == 0 {
             return Duration::ZERO;
         }
         let usual = self.elapsed / self.work.max(1.0) * f64::from(work.max(1));
-        Duration::from_secs_f64((usual * (1.0 + self.deviation)).clamp(0.0, 86_400.0))
+        let idle = now.saturating_sub(self.sampled).as_secs_f64();
+        let faded = 0.5f64.powf(idle / (FADE.as_secs_f64() + 2.0 * self.elapsed));
+        let predicted = usual * (1.0 + self.deviation) * faded;
+        Duration::from_secs_f64(predicted.clamp(0.0, 86_400.0))
     }
 }
--- a/tests/fair_admission.rs
+++ b/tests/fair_admission.rs
@@ -112,6 +112,30 @@
     assert!((2.5..=3.5).contains(&ratio), "{started:?}");
 }
 
+#[test]
+fn a_class_that_was_slow_is_tried_again_while_others_keep_the_gate_busy() {
+    let mut gate = gate(4, 10);
+    let slow = |now| Ask { class: "slow".into(), ..ask("a", 1, 5, now + Duration::from_secs(1)) };
+    assert_eq!(gate.arrive(Duration::ZERO, 0, slow(Duration::ZERO)), Verdict::Admit);
+    let far = Duration::from_secs(100_000);
+    assert_eq!(gate.arrive(Duration::ZERO, 1, ask("a", 1, 5, far)), Verdict::Admit);
+    let slowed = Duration::from_secs(30);
+    gate.finished(slowed, 0);
+    assert_eq!(gate.arrive(slowed, 2, slow(slowed)), Verdict::Refuse(Kind::DeadlineTooShort));
+    let later = slowed + Duration::from_secs(600);
+    assert_eq!(gate.arrive(later, 3, slow(later)), Verdict::Admit);
+}
+
+#[test]
+fn a_request_that_would_wait_too_long_is_refused_at_once() {
+    let mut gate = measured(1, 100);
+    let far = Duration::from_secs(100);
+    let verdicts: Vec<_> =
+        (0..20).map(|id| gate.arrive(SERVICE, id, ask("a", 1, 5, far))).collect();
+    assert_eq!(verdicts[1..11], [Verdict::Wait; 10], "ten fit within a second");
+    assert!(verdicts[11..].iter().all(|verdict| *verdict == Verdict::Refuse(Kind::Overloaded)));
+}
+
 #[test]
 fn a_cancelled_request_frees_its_place() {
     let mut gate = gate(1, 2);
