Accept extreme settings in retries and the engine model

Cause: an expected time of Duration::MAX or a prefill rate of 0 caused a panic. Change: the sum saturates and the rate is at least one token per second. Result: cargo test passes.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -122,7 +122,7 @@
             return Decision::Stop(Stop::Attempts);
         }
         let delay = self.delay(attempt.number, random);
-        if now + delay + attempt.expected >= attempt.deadline {
+        if (now + delay).saturating_add(attempt.expected) >= attempt.deadline {
             return Decision::Stop(Stop::Deadline);
         }
         if !budget.take(now) {
--- a/src/trace/engine.rs
+++ b/src/trace/engine.rs
@@ -109,7 +109,7 @@
         let cached = self.cache.matching(blocks);
         self.cache.insert(blocks);
         let left = input.saturating_sub(cached as u32 * block_tokens).max(1);
-        let prefill = Duration::from_secs_f64(f64::from(left) / self.settings.prefill);
+        let prefill = Duration::from_secs_f64(f64::from(left) / self.settings.prefill.max(1.0));
         let first = self.prefill_free.max(now) + prefill;
         self.prefill_free = first;
         let fill = self.running as f64 / self.settings.slots as f64;
