--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -19,12 +19,21 @@
 const LENGTH: Duration = Duration::from_secs(5_400);
 
 fn main() {
+    println!(
+        "The traces are generated: 5 workspaces per company (45, 30, 15, 6 and 4% of demand),"
+    );
+    println!("one system prompt per workspace and service, 40 or 60 documents per system prompt,");
+    println!("then turns that repeat the conversation so far; each request reaches a random node.");
+    println!("\"recomputed\" counts prompt tokens in blocks that some worker had computed before;");
+    println!("\"computed\" also counts the first time, which no choice of endpoint can avoid.");
     prefixes("jernhjem", &generate::jernhjem(), 18);
     prefixes("montaggio", &generate::montaggio(), 9);
+    seeds();
     overload("jernhjem", &generate::jernhjem(), 6);
     overload("montaggio", &generate::montaggio(), 3);
     amplification();
-    choice_time();
+    choice_time("plain", false);
+    choice_time("prompt", true);
 }
 
 fn trace(company: &Company, factor: f64, length: Duration) -> Vec<Record> {
@@ -34,6 +43,31 @@
     Generator::new(company, SEED, START, length).collect()
 }
 
+/// Repeats the comparison with other seeds and times of day, which the policy was not tuned on.
+fn seeds() {
+    println!("affinity relative to least in flight, 45 min: recomputed tokens, first token p95");
+    println!("  seed  from   jernhjem         montaggio");
+    for (seed, hour) in [(1, 3), (2, 8), (3, 13), (4, 18), (5, 22)] {
+        let ratios =
+            [(generate::jernhjem(), 18), (generate::montaggio(), 9)].map(|(company, workers)| {
+                let start = Duration::from_secs(hour * 3_600);
+                let length = Duration::from_secs(2_700);
+                let records: Vec<_> = Generator::new(company, seed, start, length).collect();
+                let run = |choice| {
+                    let settings =
+                        Settings { choice, workers, seed, admission: false, ..Settings::default() };
+                    replay::run(&settings, &records)
+                };
+                let (least, affinity) = (run(Choice::LeastInFlight), run(Choice::Affinity));
+                let recomputed = affinity.recomputed as f64 / least.recomputed.max(1) as f64;
+                let first = affinity.first_token(0.95).as_secs_f64()
+                    / least.first_token(0.95).as_secs_f64();
+                format!("{recomputed:.3}  {first:.3}{}", violations(&affinity))
+            });
+        println!("  {seed:4} {hour:02}:00   {}     {}", ratios[0], ratios[1]);
+    }
+}
+
 fn prefixes(name: &str, company: &Company, workers: usize) {
     let records = trace(company, 1.0, LENGTH);
     let model = records.iter().filter(|record| record.is_model()).count();
@@ -78,7 +112,8 @@
 fn overload(name: &str, company: &Company, workers: usize) {
     let length = Duration::from_secs(1_500);
     let warm_up = Duration::from_secs(600);
-    let base = Settings { workers, warm_up, ..Settings::default() };
+    let deadlines = company.deadlines();
+    let base = Settings { workers, warm_up, deadlines, ..Settings::default() };
     let rate = capacity(company, &base, length);
     let own = trace(company, 1.0, length);
     let offered = own.iter().map(|record| f64::from(record.output_length)).sum::<f64>();
@@ -98,6 +133,9 @@
             if !text.is_empty() {
                 println!("{text}");
             }
+            if load == 3.0 && admission {
+                shares(&records, &report);
+            }
             [report.useful_tokens as f64 / seconds, report.useful_requests as f64 / seconds]
         };
         let row = [goodput(true), goodput(false)];
@@ -121,11 +159,26 @@
     }
 }
 
+/// Prints which part of each workspace's model requests was answered in time; all have equal shares.
+fn shares(records: &[Record], report: &Report) {
+    let of = |name: &str| {
+        let own = records.iter().filter(|record| &*record.workspace == name);
+        own.filter(|record| record.is_model()).count()
+    };
+    let parts = report.by_workspace.iter().map(|(name, in_time)| {
+        let offered = of(name);
+        format!("{name} {:.2} of {offered}", *in_time as f64 / offered.max(1) as f64)
+    });
+    println!("  in time at 3x, by workspace: {}", parts.collect::<Vec<_>>().join(", "));
+}
+
 /// Measures the response tokens per second that the workers complete from a permanent backlog.
 fn capacity(company: &Company, base: &Settings, length: Duration) -> f64 {
     let records = trace(company, 3.0, length);
     let forever = Duration::from_secs(1 << 30);
-    let settings = Settings { admission: false, model_deadline: forever, ..base.clone() };
+    let deadlines = Vec::new();
+    let settings =
+        Settings { admission: false, model_deadline: forever, deadlines, ..base.clone() };
     let report = replay::run(&settings, &records);
     report.useful_tokens as f64 / report.measured.as_secs_f64()
 }
@@ -134,6 +187,9 @@
     println!(
         "retries: jernhjem, 10 min, failures from minute 2 to 8, attempts per request in that time"
     );
+    println!(
+        "  (the budget also pays for hedged lookups, and saves up to 10 attempts per node and service)"
+    );
     println!("  failing   budget    3 resends without budget");
     let records = trace(&generate::jernhjem(), 1.0, Duration::from_secs(600));
     for part in [0.1, 0.5, 0.9, 1.0] {
@@ -153,7 +209,8 @@
     }
 }
 
-fn choice_time() {
+/// Measures single choices; without a prompt, only the load matters.
+fn choice_time(label: &str, prompt: bool) {
     let endpoint = |index: u16| Endpoint {
         id: format!("worker-{index}").into(),
         address: SocketAddr::from(([127, 0, 0, 1], 10_000 + index)),
@@ -173,7 +230,8 @@
     for index in 0..200_000usize {
         let record = records[index % records.len()];
         let now = Duration::from_millis(index as u64);
-        let key = Key { blocks: &record.hash_ids, seed: index as u64 };
+        let blocks = if prompt { &record.hash_ids[..] } else { &[] };
+        let key = Key { blocks, seed: index as u64 };
         let start = Instant::now();
         let chosen = table.choose(now, key, &[]);
         times.push(start.elapsed());
@@ -189,7 +247,7 @@
     let mean = times.iter().sum::<Duration>() / times.len() as u32;
     let at = |part: f64| times[(times.len() as f64 * part) as usize];
     println!(
-        "choose() with 64 endpoints: mean {mean:?}, median {:?}, p99 {:?} (target: well under 5 us)",
+        "choose() with 64 endpoints, {label}: mean {mean:?}, median {:?}, p99 {:?} (target: well under 5 us)",
         at(0.5),
         at(0.99)
     );
