--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,22 @@
 //!
 //! Each module is one duty with its own state, messages and decisions; see `docs/design.md`.
 
+pub mod admission;
+pub mod caller;
+pub mod claim;
 pub mod config;
+pub mod daemon;
 pub mod document;
+pub mod endpoint;
 pub mod error;
 pub mod membership;
 pub mod peer;
 pub mod platform;
 pub mod resource;
+pub mod retry;
 pub mod revision;
+pub mod routing;
+pub mod stream;
+pub mod trace;
+pub mod util;
 pub mod wire;
