--- a/src/membership.rs
+++ b/src/membership.rs
@@ -5,7 +5,7 @@
 //! suspicion that the suspect can refute by raising its incarnation. See `docs/design.md`, section
 //! 9.10.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,12 +49,18 @@
 const SYNC_PERIODS: u32 = 8;
 /// Periods without a change after which a differing view is settled by a full exchange.
 const QUIET_PERIODS: u32 = 4;
+/// Periods after a start, or after the heal of a cut, in which differing views are settled without
+/// waiting for quiet: six updates a datagram would take too long to spread that many changes.
+const EAGER_PERIODS: u32 = 12;
+/// Shortest time between full exchanges in that time, in periods.
+const EAGER_SYNC_PERIODS: u32 = 1;
 
 /// Tells the shell what to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     Send(SocketAddr, Message),
-    /// Send `State::list` to this address by TCP and feed the answer to `State::merge`.
+    /// Send `State::list` to this address by TCP, for its `State::exchange`, and feed the answer to
+    /// `State::merge`.
     Sync(SocketAddr),
     /// A member is new or has changed.
     Changed(Member),
@@ -95,6 +101,8 @@
     /// Full exchange that is due: when and with whom.
     sync: Option<(Duration, SocketAddr)>,
     last_sync: Option<Duration>,
+    /// End of the time in which differing views are settled at once.
+    eager_until: Duration,
     actions: Vec<Action>,
 }
 
@@ -134,6 +142,7 @@
             joined: false,
             sync: None,
             last_sync: None,
+            eager_until: now + period * EAGER_PERIODS,
             actions: Vec::new(),
         }
     }
@@ -182,13 +191,28 @@
     pub fn merge(&mut self, members: Vec<Member>, now: Duration) -> Vec<Action> {
         // A node that has just joined repeats nothing: the others know these members already.
         let sent = if self.joined { self.limit() / 2 } else { self.limit() };
-        self.joined |= !members.is_empty();
+        self.joined = true;
         for member in members.into_iter().take(MAX_MEMBERS) {
             self.apply(member, sent, now);
         }
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes in another node's list and gives what that node lacks.
+    pub fn exchange(&mut self, members: Vec<Member>, now: Duration) -> (Vec<Member>, Vec<Action>) {
+        let theirs: HashMap<Arc<str>, (u64, Status)> = members
+            .iter()
+            .map(|member| (member.node.clone(), (member.incarnation, member.status)))
+            .collect();
+        let actions = self.merge(members, now);
+        let mut lacking = self.list();
+        lacking.retain(|member| {
+            let known = theirs.get(&member.node);
+            known.is_none_or(|&known| (member.incarnation, member.status) > known)
+        });
+        (lacking, actions)
+    }
+
     /// Acts on a message that arrived from `from`.
     pub fn receive(&mut self, from: SocketAddr, message: Message, now: Duration) -> Vec<Action> {
         let Message { node, view, sequence, body, updates } = message;
@@ -223,19 +247,27 @@
         if entry.member.status == Status::Dead {
             // Both sides of a healed cut believe each other dead. The exchange waits until the
             // members that are reached directly have refuted it.
-            let wait = self.period.mul_f64(self.rng.random_range(1.0..3.0));
-            self.plan_sync(from, now, wait);
-        } else if view != self.view && now >= self.view_changed + self.period * QUIET_PERIODS {
-            let wait = self.period.mul_f64(self.rng.random());
-            self.plan_sync(from, now, wait);
+            let wait = self.period.mul_f64(self.rng.random_range(0.5..2.0));
+            if self.plan_sync(from, now, wait) {
+                self.eager_until = now + self.period * EAGER_PERIODS;
+            }
+        } else if view != self.view {
+            let quiet = now >= self.view_changed + self.period * QUIET_PERIODS;
+            if quiet || now < self.eager_until {
+                let wait = self.period.mul_f64(self.rng.random_range(0.0..0.5));
+                self.plan_sync(from, now, wait);
+            }
         }
     }
 
-    fn plan_sync(&mut self, address: SocketAddr, now: Duration, wait: Duration) {
-        let rest = self.period * SYNC_PERIODS;
-        if self.sync.is_none() && self.last_sync.is_none_or(|last| now >= last + rest) {
+    fn plan_sync(&mut self, address: SocketAddr, now: Duration, wait: Duration) -> bool {
+        let rest = if now < self.eager_until { EAGER_SYNC_PERIODS } else { SYNC_PERIODS };
+        let rest = self.period * rest;
+        let due = self.sync.is_none() && self.last_sync.is_none_or(|last| now >= last + rest);
+        if due {
             self.sync = Some((now + wait, address));
         }
+        due
     }
 
     /// Takes in one piece of news; `sent` is where the count of its transmissions starts.
@@ -249,7 +281,7 @@
         }
         let node = update.node.clone();
         let digest = update.digest();
-        let full = self.members.len() >= MAX_MEMBERS;
+        let (full, limit) = (self.members.len() >= MAX_MEMBERS, self.limit());
         match self.members.get_mut(&node) {
             Some(entry) if update.supersedes(&entry.member) => {
                 self.view ^= entry.member.digest();
@@ -259,7 +291,13 @@
                 entry.member = update;
                 entry.changed = now;
             }
-            Some(_) => return,
+            Some(entry) => {
+                // Others spread this already, so this node has to send it less often.
+                if update == entry.member {
+                    self.queue.hear(&node, limit);
+                }
+                return;
+            }
             None if update.status == Status::Dead || full => return,
             None => {
                 let entry = Entry { member: update, failures: 0, changed: now };
--- a/src/membership/queue.rs
+++ b/src/membership/queue.rs
@@ -37,12 +37,17 @@
         }
         let taken: Vec<Arc<str>> = ranked.into_iter().map(|(_, _, node)| node).collect();
         for node in &taken {
-            let Some(sent) = self.sent.get_mut(node) else { continue };
-            *sent += 1;
-            if *sent >= limit {
-                self.sent.remove(node);
-            }
+            self.hear(node, limit);
         }
         taken
     }
+
+    /// Counts one transmission of the news about a node, by this node or by another.
+    pub fn hear(&mut self, node: &str, limit: u32) {
+        let Some(sent) = self.sent.get_mut(node) else { return };
+        *sent += 1;
+        if *sent >= limit {
+            self.sent.remove(node);
+        }
+    }
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -64,13 +64,9 @@
             Reply::Config((current.revision > known).then(|| (*current).clone()))
         }
         Request::SyncMembers(members) => {
-            let (list, actions) = {
-                let mut state = shared.membership();
-                let actions = state.merge(members, shared.now());
-                (state.list(), actions)
-            };
+            let (lacking, actions) = shared.membership().exchange(members, shared.now());
             shared.perform(actions).await;
-            Reply::Members(list)
+            Reply::Members(lacking)
         }
         other => (shared.handler)(other).await,
     }
