--- a/src/membership.rs
+++ b/src/membership.rs
@@ -226,7 +226,7 @@
             match body {
                 Body::Ping => self.answer(from, &node, sequence, refuted),
                 Body::PingRequest(target) => self.relay(from, target, sequence, now),
-                Body::Ack => self.acknowledge(&node, view, sequence, now),
+                Body::Ack => self.acknowledge(&node, view, sequence),
             }
         }
         std::mem::take(&mut self.actions)
@@ -281,6 +281,9 @@
         }
         let node = update.node.clone();
         let digest = update.digest();
+        if self.members.len() >= MAX_MEMBERS && !self.members.contains_key(&node) {
+            self.forget_oldest_dead();
+        }
         let (full, limit) = (self.members.len() >= MAX_MEMBERS, self.limit());
         match self.members.get_mut(&node) {
             Some(entry) if update.supersedes(&entry.member) => {
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -13,8 +13,6 @@
 
 /// Pings that this node relays at a time; more than its share when every member has a failure.
 const MAX_RELAYS: usize = 256;
-/// Periods between attempts to reach a dead member.
-const DEAD_PING_PERIODS: u32 = 1;
 
 /// Tracks a ping that waits for its `Ack`.
 #[derive(Debug)]
@@ -99,9 +97,7 @@
         self.periods = self.periods.wrapping_add(1);
         self.probe_next(now);
         self.repeat_failed(now);
-        if self.periods.is_multiple_of(DEAD_PING_PERIODS) {
-            self.ping_dead();
-        }
+        self.ping_dead();
         if self.periods.is_multiple_of(SEED_PERIODS) {
             self.ping_seed();
         }
@@ -201,12 +197,26 @@
             .filter(|entry| entry.member.status == Status::Dead && now >= entry.changed + keep);
         let old: Vec<Arc<str>> = old.map(|entry| entry.member.node.clone()).collect();
         for node in &old {
-            self.members.remove(node);
-            self.queue.remove(node);
-            self.order.retain(|other| other != node);
+            self.remove(node);
+        }
+    }
+
+    /// Makes room for a new member.
+    pub(super) fn forget_oldest_dead(&mut self) {
+        let dead = self.members.values().filter(|entry| entry.member.status == Status::Dead);
+        let oldest = dead.min_by_key(|entry| entry.changed);
+        if let Some(node) = oldest.map(|entry| entry.member.node.clone()) {
+            self.remove(&node);
         }
     }
 
+    /// Removes a dead member; the view digest leaves these out already.
+    fn remove(&mut self, node: &Arc<str>) {
+        self.members.remove(node);
+        self.queue.remove(node);
+        self.order.retain(|other| other != node);
+    }
+
     pub(super) fn relay(
         &mut self,
         requester: SocketAddr,
@@ -224,13 +234,7 @@
         self.relays.push(Relay { sequence, requester, requested, deadline });
     }
 
-    pub(super) fn acknowledge(
-        &mut self,
-        node: &Arc<str>,
-        view: u64,
-        sequence: u32,
-        _now: Duration,
-    ) {
+    pub(super) fn acknowledge(&mut self, node: &Arc<str>, view: u64, sequence: u32) {
         if let Some(place) = self.relays.iter().position(|relay| relay.sequence == sequence) {
             let relay = self.relays.swap_remove(place);
             let ack = self.compose(None, relay.requested, Body::Ack, false);
--- a/src/membership/queue.rs
+++ b/src/membership/queue.rs
@@ -29,13 +29,13 @@
         if self.sent.is_empty() || count == 0 {
             return Vec::new();
         }
-        let mut ranked: Vec<(u32, u32, Arc<str>)> =
-            self.sent.iter().map(|(node, &sent)| (sent, rng.random(), node.clone())).collect();
+        let mut ranked: Vec<(u32, u32, &Arc<str>)> =
+            self.sent.iter().map(|(node, &sent)| (sent, rng.random(), node)).collect();
         if ranked.len() > count {
             ranked.select_nth_unstable(count - 1);
             ranked.truncate(count);
         }
-        let taken: Vec<Arc<str>> = ranked.into_iter().map(|(_, _, node)| node).collect();
+        let taken: Vec<Arc<str>> = ranked.into_iter().map(|(_, _, node)| node.clone()).collect();
         for node in &taken {
             self.hear(node, limit);
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -212,6 +212,9 @@
     }
 
     /// Sets the marks that this node knows; new ones are sent to a few members at once.
+    ///
+    /// The marks handler has to add what it receives to this set. Otherwise the digests of two
+    /// nodes differ for good, and they send each other their marks at each heartbeat.
     pub async fn set_marks(&self, marks: Vec<Mark>) {
         let grown = self.shared.marks().set(marks);
         if grown {
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -30,6 +30,9 @@
 const SERVER_IDLE: Duration = Duration::from_secs(60);
 /// Time in which a client must send a whole frame after its first byte.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest frame of a client that has not yet shown that it holds the key, so that strangers
+/// cannot make the server hold large buffers.
+const HELLO_BYTES: usize = 64;
 /// Time in which the two ends must exchange their nonces.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -86,7 +89,9 @@
         counters: Arc<Counters>,
     ) -> io::Result<Connection> {
         let socket = TcpStream::connect(address).await?;
-        Connection::greet(socket, Role::Client, codec, counters).await
+        let mut connection = Connection::greet(socket, Role::Client, codec, counters).await?;
+        connection.write(&()).await.map_err(io::Error::other)?;
+        Ok(connection)
     }
 
     pub(super) async fn accept(
@@ -95,7 +100,9 @@
         counters: Arc<Counters>,
     ) -> io::Result<Connection> {
         let greeting = Connection::greet(socket, Role::Server, codec, counters);
-        time::timeout(HELLO_TIMEOUT, greeting).await?
+        let mut connection = time::timeout(HELLO_TIMEOUT, greeting).await??;
+        connection.read::<()>(HELLO_TIMEOUT, HELLO_BYTES).await.map_err(io::Error::other)?;
+        Ok(connection)
     }
 
     /// Exchanges the nonces that tie all frames to this connection.
@@ -136,12 +143,16 @@
         Ok(())
     }
 
-    async fn read<T: DeserializeOwned>(&mut self, idle: Duration) -> Result<T, Error> {
+    async fn read<T: DeserializeOwned>(
+        &mut self,
+        idle: Duration,
+        limit: usize,
+    ) -> Result<T, Error> {
         let mut length = [0; 4];
         let first = time::timeout(idle, self.socket.read_exact(&mut length)).await;
         first.map_err(|_| Error::Timeout)?.map_err(Error::Broken)?;
         let length = u32::from_le_bytes(length) as usize;
-        if length > wire::STREAM_BYTES {
+        if length > limit {
             self.counters.drop_frame(wire::Error::Oversize);
             return Err(Error::Wire(wire::Error::Oversize));
         }
@@ -165,7 +176,7 @@
         self.next_id += 1;
         let id = self.next_id;
         self.write(&Envelope { id, body: request }).await?;
-        let reply: Envelope<Reply> = self.read(timeout).await?;
+        let reply: Envelope<Reply> = self.read(timeout, wire::STREAM_BYTES).await?;
         if reply.id != id {
             return Err(Error::Mismatch);
         }
@@ -174,7 +185,7 @@
 
     /// Receives the next request of the other end.
     pub(super) async fn next_request(&mut self) -> Result<Envelope<Request>, Error> {
-        self.read(SERVER_IDLE).await
+        self.read(SERVER_IDLE, wire::STREAM_BYTES).await
     }
 
     pub(super) async fn reply(&mut self, id: u64, body: &Reply) -> Result<(), Error> {
--- a/tests/peer_network.rs
+++ b/tests/peer_network.rs
@@ -15,9 +15,12 @@
 #[tokio::test]
 async fn nodes_join_through_a_seed() {
     let nodes = Node::start_many(5).await;
-    until(TIMEOUT, || nodes.iter().all(|node| node.alive() == 5)).await;
+    // The members may be known by TCP before the first datagram arrives.
+    let joined = |node: &Node| {
+        node.alive() == 5 && node.network.counters().get(Counter::DatagramsReceived) > 0
+    };
+    until(TIMEOUT, || nodes.iter().all(joined)).await;
     for node in &nodes {
-        assert!(node.network.counters().get(Counter::DatagramsReceived) > 0);
         for cause in wire::Error::ALL {
             assert_eq!(node.network.counters().dropped(cause), 0, "{cause}");
         }
@@ -107,6 +110,48 @@
     assert_eq!(seed.network.members().len(), 1);
 }
 
+/// Fails when a restarted node whose clock ran backwards stays locked out.
+#[tokio::test]
+async fn lower_incarnation_is_raised() {
+    let seed = Node::start("seed", Vec::new(), cluster::refuse()).await;
+    let start = |incarnation| {
+        let mut config = cluster::config("node", vec![seed.network.address()]);
+        config.incarnation = incarnation;
+        Node::start_with(config, cluster::refuse(), cluster::ignore_marks())
+    };
+    let first = start(1_000).await;
+    until(TIMEOUT, || seed.alive() == 2 && first.alive() == 2).await;
+    drop(first);
+    let second = start(5).await;
+    let address = second.network.address();
+    let known = || {
+        let members = seed.network.members();
+        members
+            .iter()
+            .any(|member| member.address == address && member.status == membership::Status::Alive)
+    };
+    until(TIMEOUT, || known() && second.alive() == 2).await;
+    let dropped = || seed.network.counters().dropped(wire::Error::Incarnation);
+    let before = dropped();
+    // Two heartbeats in which datagrams must be accepted again.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(dropped(), before);
+}
+
+/// Fails when a stranger can make the server wait for, or hold, a large frame.
+#[tokio::test]
+async fn large_frame_of_a_stranger_is_dropped() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let node = Node::start("node", Vec::new(), cluster::refuse()).await;
+    let mut socket = tokio::net::TcpStream::connect(node.network.address()).await.unwrap();
+    socket.write_all(&[7; 16]).await.unwrap();
+    socket.write_all(&(1u32 << 20).to_le_bytes()).await.unwrap();
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(TIMEOUT, socket.read_to_end(&mut rest)).await;
+    assert!(closed.is_ok(), "the server closes the connection");
+    assert_eq!(node.network.counters().dropped(wire::Error::Oversize), 1);
+}
+
 /// Fails when a node that takes no part in the first sending of marks does not get them later.
 #[tokio::test]
 async fn marks_reach_all_nodes() {
--- a/tests/rounds/mod.rs
+++ b/tests/rounds/mod.rs
@@ -1,7 +1,6 @@
 //! Drives membership states with a queue of messages that has loss and cuts; no clock, no sockets.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,8 +36,9 @@
     pub now: Duration,
     seed: u64,
     rng: SmallRng,
-    events: Vec<Option<(usize, Event)>>,
-    queue: BinaryHeap<Reverse<(Duration, usize)>>,
+    /// Events by time and by order of their creation, with the node that they are for.
+    events: BTreeMap<(Duration, u64), (usize, Event)>,
+    created: u64,
 }
 
 impl Rounds {
@@ -56,8 +56,8 @@
             now: Duration::ZERO,
             seed,
             rng: SmallRng::seed_from_u64(seed),
-            events: Vec::new(),
-            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            created: 0,
         };
         for index in 0..count {
             rounds.states.push(rounds.state(index, 1_700_000_000_000));
@@ -94,21 +94,12 @@
 
     pub fn run(&mut self, periods: u32) {
         let end = self.now + PERIOD * periods;
-        while let Some(&Reverse((at, id))) = self.queue.peek() {
-            if at > end {
-                break;
-            }
-            self.queue.pop();
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), (node, event)) = entry.remove_entry();
             self.now = at;
-            if let Some((node, event)) = self.events[id].take() {
-                self.handle(node, event);
-            }
+            self.handle(node, event);
         }
         self.now = end;
-        // The places of handled events are reused once none is left in front of the pending ones.
-        if self.events.len() > 1 << 20 {
-            self.compact();
-        }
     }
 
     /// Counts the periods until a condition holds; panics when it does not hold within `limit`.
@@ -204,19 +195,8 @@
     }
 
     fn push(&mut self, at: Duration, node: usize, event: Event) {
-        self.queue.push(Reverse((at, self.events.len())));
-        self.events.push(Some((node, event)));
-    }
-
-    fn compact(&mut self) {
-        let mut pending = std::mem::take(&mut self.queue).into_sorted_vec();
-        pending.reverse();
-        let mut events = std::mem::take(&mut self.events);
-        for Reverse((at, id)) in pending {
-            if let Some((node, event)) = events[id].take() {
-                self.push(at, node, event);
-            }
-        }
+        self.created += 1;
+        self.events.insert((at, self.created), (node, event));
     }
 }
 
