Test a silent platform and search less often for old dead members

Cause: only a platform that refuses connections was tested, and every node looked through all members each period for dead ones to forget.

Change: the late node of the test meets a platform that never answers; the search runs every 60 periods.

--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -11,6 +11,8 @@
     SUSPECT_FAILURES, State, Status,
 };
 
+/// Periods between searches for dead members that are old enough to be forgotten.
+const FORGET_PERIODS: u32 = 60;
 /// Pings that this node relays at a time; more than its share when every member has a failure.
 const MAX_RELAYS: usize = 256;
 
@@ -102,7 +104,9 @@
             self.ping_seed();
         }
         self.join(now);
-        self.forget(now);
+        if self.periods.is_multiple_of(FORGET_PERIODS) {
+            self.forget(now);
+        }
     }
 
     /// Probes the next member in a random order that visits each member once a round.
--- a/tests/config_propagation.rs
+++ b/tests/config_propagation.rs
@@ -37,6 +37,12 @@
     client(listener.local_addr().unwrap())
 }
 
+/// Gives a client of a platform that takes connections and never answers.
+async fn silent_platform() -> (Client, tokio::net::TcpListener) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    (client(listener.local_addr().unwrap()), listener)
+}
+
 /// Writes a configuration with one pool and gives its revision.
 async fn write(client: &Client, concurrency: u32) -> u64 {
     let head = client.read_row(HEAD_KEY).await.unwrap();
@@ -124,10 +130,11 @@
         println!("change {change} reached the node without platform after {:?}", start.elapsed());
     }
     let late = Node::start("late", vec![nodes[1].network.address()], cluster::refuse()).await;
+    let (silent, _listener) = silent_platform().await;
     let start = Instant::now();
-    follow(&late, &nowhere, POLL, 9);
+    follow(&late, &silent, POLL, 9);
     until(CUT_TARGET, || late.state.is_ready()).await;
-    println!("a node started without platform was ready after {:?}", start.elapsed());
+    println!("a node started with a silent platform was ready after {:?}", start.elapsed());
     let resources = |node: &Node| node.state.current().resources.clone();
     assert_eq!(resources(&late), resources(&nodes[0]));
 }
--- a/tests/rounds/mod.rs
+++ b/tests/rounds/mod.rs
@@ -37,7 +37,7 @@
     seed: u64,
     rng: SmallRng,
     /// Events by time and by order of their creation, with the node that they are for.
-    events: BTreeMap<(Duration, u64), (usize, Event)>,
+    events: BTreeMap<(Duration, u64), (usize, Box<Event>)>,
     created: u64,
 }
 
@@ -97,7 +97,7 @@
         while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
             let ((at, _), (node, event)) = entry.remove_entry();
             self.now = at;
-            self.handle(node, event);
+            self.handle(node, *event);
         }
         self.now = end;
     }
@@ -196,7 +196,7 @@
 
     fn push(&mut self, at: Duration, node: usize, event: Event) {
         self.created += 1;
-        self.events.insert((at, self.created), (node, event));
+        self.events.insert((at, self.created), (node, Box::new(event)));
     }
 }
 
