--- a/src/caller.rs
+++ b/src/caller.rs
@@ -69,7 +69,8 @@
         let share = self.catalog.workspace(&self.workspace).map_or(1, |workspace| workspace.share);
         let deadline = node.time_of(self.deadline(service.deadline_ms).into_std());
         let (workspace, priority) = (self.workspace.clone(), self.priority);
-        let ask = admission::Ask { workspace, share, priority, deadline, work };
+        let class = name.clone();
+        let ask = admission::Ask { workspace, class, share, priority, deadline, work };
         door.enter(node.tick(), node.now(), ask).await
     }
 }
--- a/src/caller/admit.rs
+++ b/src/caller/admit.rs
@@ -38,8 +38,8 @@
     door: Arc<Door>,
     id: u64,
     clock: tokio::time::Instant,
-    /// Work done so far; set when the request has completed.
-    done: Option<u32>,
+    /// Set when the request has completed, so that its time counts for predictions.
+    done: bool,
 }
 
 impl Doors {
@@ -80,20 +80,17 @@
             }
         };
         // From here on a dropped future must give its place back.
-        let mut permit = self.permit(id, clock);
+        let permit = self.permit(id, clock);
         let answer = tokio::time::timeout(LONGEST_WAIT, answer).await;
         match answer {
             Ok(Ok(Ok(()))) => Ok(permit),
-            Ok(Ok(Err(kind))) => {
-                permit.done = Some(0);
-                Err(refusal(kind))
-            }
+            Ok(Ok(Err(kind))) => Err(refusal(kind)),
             _ => Err(refusal(Kind::Overloaded)),
         }
     }
 
     fn permit(self: &Arc<Door>, id: u64, clock: tokio::time::Instant) -> Permit {
-        Permit { door: self.clone(), id, clock, done: None }
+        Permit { door: self.clone(), id, clock, done: false }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -116,9 +113,9 @@
 }
 
 impl Permit {
-    /// Records the work that a completed request took.
-    pub fn complete(mut self, work: u32) {
-        self.done = Some(work);
+    /// Records that the request has completed.
+    pub fn complete(mut self) {
+        self.done = true;
     }
 }
 
@@ -128,8 +125,8 @@
         let mut inner = self.door.lock();
         inner.waiting.remove(&self.id);
         match self.done {
-            Some(work) if work > 0 => inner.gate.finished(now, self.id, work),
-            _ => inner.gate.cancelled(self.id),
+            true => inner.gate.finished(now, self.id),
+            false => inner.gate.cancelled(self.id),
         }
         let actions = inner.gate.ready(now);
         inner.carry_out(actions);
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -87,7 +87,7 @@
     tokio::spawn(async move {
         pump::carry(node, carried.clone()).await;
         if matches!(carried.finish(), Some(Finish::Complete { .. })) {
-            permit.complete(u32::try_from(carried.offset()).unwrap_or(u32::MAX).max(1));
+            permit.complete();
         }
     });
     Ok(entry)
--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -83,7 +83,7 @@
     };
     let permit = context.admit(node, &call.service, service, WORK).await?;
     let result = run(node, &context, service, &call, path, key).await;
-    permit.complete(WORK);
+    permit.complete();
     let label = result.as_ref().map_or_else(|error| error.kind.answer().name, |_| "complete");
     node.metrics.requests.with_label_values(&[&*call.service, label]).inc();
     Ok(respond(result?))
--- a/src/peer/datagram.rs
+++ b/src/peer/datagram.rs
@@ -37,7 +37,7 @@
     /// Replaces the marks; tells whether the digest has changed.
     pub(super) fn set(&mut self, mut marks: Vec<Mark>) -> bool {
         // Sorted first, so that nodes with the same marks keep the same ones.
-        marks.sort_unstable();
+        marks.sort_unstable_by(|left, right| left.key.cmp(&right.key));
         marks.truncate(MAX_MARKS);
         let digest = digest(&marks);
         let changed = digest != self.digest;
--- a/tests/wire_frames.rs
+++ b/tests/wire_frames.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use pomelolink::membership::{Body, Member, Message, Status, Updates};
-use pomelolink::peer::{Content, Datagram, Mark, Request};
+use pomelolink::peer::{Content, Datagram, Request};
+use pomelolink::rollout::{Key, Mark};
 use pomelolink::wire::{self, Codec, Error, Replay, Role, Session};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +37,12 @@
     Datagram { revision: 12, marks: 3, content: Content::Probe(message) }
 }
 
+fn mark(service: &str, version: &str, reason: &str) -> Mark {
+    let (service, version) = (service.into(), version.into());
+    let key = Key { accepted_ms: 1_800_000_000_000, service, version, name: "shift".into() };
+    Mark { key, reason: reason.into() }
+}
+
 /// Fails when a datagram changes on its way, or a receiver accepts it twice.
 #[test]
 fn datagram_is_accepted_once() {
@@ -74,7 +81,7 @@
     assert_eq!(open(&bytes[..40]), Error::Short);
     assert_eq!(open(&bytes[..bytes.len() - 1]), Error::Tag);
     assert_eq!(open(&vec![1; wire::DATAGRAM_BYTES + 1]), Error::Oversize);
-    let long = Mark::new(&"s".repeat(200), "v", "r");
+    let long = mark(&"s".repeat(200), "v", "r");
     let marks = Datagram { content: Content::Marks(vec![long; 10]), ..datagram(0) };
     assert_eq!(sender.seal(&marks), Err(Error::Oversize));
     // A right tag over a body of another type, with trailing bytes, or with too many updates.
@@ -181,7 +188,7 @@
 #[test]
 fn mutated_bodies_are_errors() {
     let mut rng = SmallRng::seed_from_u64(13);
-    let mark = Mark::new("chat", "chat-2", "20 failing responses");
+    let mark = mark("chat", "chat-2", "20 failing responses");
     let marks = Datagram { content: Content::Marks(vec![mark; 3]), ..datagram(0) };
     let mut decoded = 0;
     for round in 0..200_000 {
