--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -9,14 +9,16 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::Full;
 use tokio::time::Instant;
+use xxhash_rust::xxh3;
 
-use super::target::{self, Exclude};
+use super::target::{self, Flight, Trouble, Wish};
 use super::{Context, body, identify};
 use crate::claim::{self, keeper};
 use crate::daemon::Node;
 use crate::endpoint::answer::{self, Answer, Fault, REQUEST_ID};
 use crate::error::{Error, Kind, Result};
 use crate::resource::Service;
+use crate::retry;
 
 /// Names the header by which a caller makes a non-idempotent request repeatable.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -24,9 +26,12 @@
 pub const WORKSPACE: &str = "x-workspace";
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 256;
-/// Attempts of an idempotent request, the first included.
-const ATTEMPTS: usize = 4;
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Endpoints tried for a request that provably did not reach the one before.
+const ENDPOINTS_TRIED: usize = 4;
+/// Shortest time in which a further attempt can succeed.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(5);
+/// Work of one plain request in the unit of admission.
+const WORK: u32 = 1;
 
 /// Headers that belong to one connection; RFC 9110, section 7.6.1.
 const HOP_BY_HOP: [&str; 9] = [
@@ -46,6 +51,8 @@
 struct Call {
     service: Arc<str>,
     method: Method,
+    /// Declared path that matches, by which evidence is kept apart.
+    route: Arc<str>,
     /// Path below the service, with the query.
     path: String,
     headers: HeaderMap,
@@ -67,14 +74,19 @@
     let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
     let call = Call {
         service: name.into(),
+        route: service.route(&parts.method, path).map_or("/".into(), |route| route.path.clone()),
         path: format!("{path}{query}"),
         headers: forward_headers(&parts.headers, &context),
         deadline: context.deadline(service.deadline_ms),
         method: parts.method,
         body,
     };
-    let answer = run(node, &context, service, &call, path, key).await?;
-    Ok(respond(answer))
+    let permit = context.admit(node, &call.service, service, WORK).await?;
+    let result = run(node, &context, service, &call, path, key).await;
+    permit.complete(WORK);
+    let label = result.as_ref().map_or_else(|error| error.kind.answer().name, |_| "complete");
+    node.metrics.requests.with_label_values(&[&*call.service, label]).inc();
+    Ok(respond(result?))
 }
 
 async fn run(
@@ -94,6 +106,13 @@
     }
 }
 
+impl Call {
+    fn wish(&self, context: &Context) -> Wish {
+        let hash = xxh3::xxh3_64(context.id.as_bytes());
+        Wish::new(self.service.clone(), self.route.clone(), hash)
+    }
+}
+
 fn split(path: &str) -> (&str, &str) {
     let rest = path.strip_prefix('/').unwrap_or(path);
     match rest.find('/') {
@@ -113,31 +132,44 @@
     }
 }
 
-/// Repeats an idempotent request while time is left.
+/// Repeats an idempotent request while time and the retry budget are left.
 async fn repeat(node: &Arc<Node>, context: &Context, call: &Call) -> Result<Answer> {
-    let mut exclude = Exclude::new();
-    let mut last = Error::new(Kind::NoEndpoint, "no endpoint could be reached");
-    for _ in 0..ATTEMPTS {
-        let target = match target::choose(node, &context.catalog, &call.service, &exclude) {
-            Ok(target) => target,
-            Err(error) if exclude.is_empty() => return Err(error),
-            Err(_) => {
-                exclude.clear();
-                continue;
+    let mut wish = call.wish(context);
+    let mut number = 0;
+    loop {
+        let flight = match target::choose(node, &context.catalog, &wish) {
+            Ok(flight) => flight,
+            Err(_) if !wish.exclude.is_empty() => {
+                wish.exclude.clear();
+                target::choose(node, &context.catalog, &wish)?
             }
+            Err(error) => return Err(error),
         };
-        match send(node, context, call, &target).await {
+        number += 1;
+        let (vm, version) = (flight.vm.clone(), flight.version.clone());
+        let fallback = flight.fallback.is_some();
+        let error = match send(node, context, call, flight).await {
             Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
-            Ok(answer) => last = Error::new(Kind::EndpointFailed, answer.status.to_string()),
-            Err(fault) => last = refuse(&fault),
-        }
-        exclude.push(target.vm);
-        if Instant::now() + RETRY_PAUSE >= call.deadline {
-            break;
+            Ok(answer) => {
+                Error::new(Kind::EndpointFailed, format!("the endpoint answered {}", answer.status))
+            }
+            Err(fault) => refuse(&fault),
+        };
+        wish.exclude.push(vm);
+        wish.avoid = fallback.then_some(version);
+        let attempt = retry::Attempt {
+            run: error.run(),
+            idempotent: true,
+            deadline: node.time_of(call.deadline.into_std()),
+            expected: SHORTEST_ATTEMPT,
+            number,
+        };
+        match node.decide_retry(&call.service, attempt) {
+            retry::Decision::Resend(pause) => tokio::time::sleep(pause).await,
+            retry::Decision::Stop(_) => return Err(error),
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        node.metrics.retries.with_label_values(&[&*call.service]).inc();
     }
-    Err(last)
 }
 
 /// Sends a request at most once; only what provably did not run goes to another endpoint.
@@ -146,17 +178,15 @@
     context: &Context,
     call: &Call,
 ) -> std::result::Result<Answer, Fault> {
-    let mut exclude = Exclude::new();
+    let mut wish = call.wish(context);
     let mut last = Fault::NotRun("no endpoint could be reached".to_owned());
-    for _ in 0..ATTEMPTS {
-        let Ok(target) = target::choose(node, &context.catalog, &call.service, &exclude) else {
-            break;
-        };
-        match send(node, context, call, &target).await {
+    for _ in 0..ENDPOINTS_TRIED {
+        let Ok(flight) = target::choose(node, &context.catalog, &wish) else { break };
+        wish.exclude.push(flight.vm.clone());
+        match send(node, context, call, flight).await {
             Err(Fault::NotRun(reason)) => last = Fault::NotRun(reason),
             other => return other,
         }
-        exclude.push(target.vm);
     }
     Err(last)
 }
@@ -190,19 +220,39 @@
     node: &Arc<Node>,
     context: &Context,
     call: &Call,
-    target: &target::Target,
+    flight: Flight,
+) -> std::result::Result<Answer, Fault> {
+    let began = Instant::now();
+    let result = exchange(node, context, call, &flight).await;
+    match &result {
+        Ok(answer) => {
+            flight.load(&answer.headers);
+            let failed = answer.status.is_client_error() || answer.status.is_server_error();
+            flight.succeeded(failed, began.elapsed(), None);
+        }
+        Err(Fault::NotRun(_) | Fault::Unknown(_)) => flight.failed(Trouble::Connection),
+        Err(Fault::Incomplete(_) | Fault::TooLarge) => flight.failed(Trouble::Answer),
+    }
+    result
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    context: &Context,
+    call: &Call,
+    flight: &Flight,
 ) -> std::result::Result<Answer, Fault> {
     let mut request = http::Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() =
         call.path.parse().map_err(|_| Fault::NotRun("the path is not valid".to_owned()))?;
     *request.headers_mut() = call.headers.clone();
-    let host = HeaderValue::from_str(&target.address.to_string());
+    let host = HeaderValue::from_str(&flight.address.to_string());
     if let (Ok(host), Ok(id)) = (host, HeaderValue::from_str(&context.id)) {
         request.headers_mut().insert(header::HOST, host);
         request.headers_mut().insert(REQUEST_ID, id);
     }
-    let pool = node.directory.pool(target.address);
+    let pool = node.directory.pool(flight.address);
     let exchange = answer::exchange(&pool, request, node.settings.limits.answer_bytes);
     match tokio::time::timeout_at(call.deadline, exchange).await {
         Ok(result) => result,
--- a/src/caller/pump.rs
+++ b/src/caller/pump.rs
@@ -6,21 +6,29 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use xxhash_rust::xxh3;
 
-use super::target::{self, Exclude, Target};
+use super::target::{self, Flight, Trouble, Wish};
 use super::{PRIORITY, chat};
 use crate::daemon::Node;
 use crate::endpoint::answer::{self, Fault, REQUEST_ID};
 use crate::endpoint::pool::Lent;
 use crate::endpoint::sse;
 use crate::error::Kind;
+use crate::routing;
 use crate::stream::{Entry, Finish};
+use crate::timeline::Subject;
 
-/// Pause before the next attempt; jitter comes from the endpoints' own spread.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before the second attempt; it doubles up to 640 ms, so that an accepted stream waits for
+/// an endpoint without overloading those that are left.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_DOUBLING: u32 = 6;
 /// A stream that has been silent this long is resumed on another endpoint. It is well above the
 /// token gap of an overloaded engine and well below what a caller takes for a stalled chat.
 const SILENCE: Duration = Duration::from_secs(2);
+/// Longest wait for the first token; a queue at the engine is not a silent connection.
+const HEAD_SILENCE: Duration = Duration::from_secs(10);
 /// Period in which a pump looks whether anybody still wants its stream.
 const WANTED_PERIOD: Duration = Duration::from_secs(1);
 
@@ -28,24 +36,39 @@
 #[derive(Debug)]
 enum Stop {
     /// Another endpoint can go on at the offset.
-    Lost(String),
+    Lost(Trouble, String),
+    /// The endpoint is leaving; its cached state may be moved.
+    Leaving,
     /// Every endpoint would answer the same.
     Refused(Kind, String),
 }
 
-/// Carries one stream until it has finished, its deadline has passed or nobody wants it.
+/// Carries one stream until it has finished, its deadline has passed, nobody wants it or another
+/// node takes it over.
 pub async fn carry(node: Arc<Node>, entry: Arc<Entry>) {
-    let deadline = entry.accepted + Duration::from_millis(entry.request.deadline_ms);
+    node.metrics.in_flight.inc();
     let finish = tokio::select! {
-        finish = attempts(&node, &entry) => finish,
-        () = tokio::time::sleep_until(deadline.into()) => {
-            failed(Kind::DeadlinePassed, "the deadline has passed")
+        finish = attempts(&node, &entry) => Some(finish),
+        () = tokio::time::sleep_until(entry.deadline().into()) => {
+            Some(failed(Kind::DeadlinePassed, "the deadline has passed"))
         }
-        () = unwanted(&node, &entry) => failed(Kind::StreamGone, "no caller reads the stream"),
+        () = unwanted(&node, &entry) => Some(failed(Kind::StreamGone, "no caller reads the stream")),
+        () = entry.detached() => None,
     };
-    if let Finish::Failed { kind, detail } = &finish {
-        log::info!("stream: {} failed: {}: {detail}", entry.request.id, kind.answer().name);
-    }
+    node.metrics.in_flight.dec();
+    let Some(finish) = finish else { return };
+    let result = match &finish {
+        Finish::Failed { kind, detail } => {
+            log::info!("stream: {} failed: {}: {detail}", entry.request.id, kind.answer().name);
+            kind.answer().name
+        }
+        Finish::Complete { usage, .. } => {
+            node.metrics.tokens.inc_by(entry.offset());
+            node.metrics.recomputed_tokens.inc_by(usage.recomputed_tokens);
+            "complete"
+        }
+    };
+    node.metrics.requests.with_label_values(&[&*entry.request.service, result]).inc();
     entry.close(finish);
 }
 
@@ -64,38 +87,98 @@
 }
 
 async fn attempts(node: &Arc<Node>, entry: &Entry) -> Finish {
-    let mut exclude = Exclude::new();
+    let request = &entry.request;
+    let hash = xxh3::xxh3_64(request.id.as_bytes());
+    let mut wish = Wish::new(request.service.clone(), "/v1/chat/completions".into(), hash);
+    wish.blocks = routing::blocks(&chat::prompt(&request.body)).into_iter().collect();
+    let mut number = 0;
     loop {
         let catalog = node.revision.current();
-        let target = match target::choose(node, &catalog, &entry.request.service, &exclude) {
-            Ok(target) => target,
-            Err(_) => {
-                // An endpoint that failed once may be the only one; the request is accepted.
-                exclude.clear();
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
+        let Ok(flight) = target::choose(node, &catalog, &wish) else {
+            // An endpoint that failed once may be the only one; the request is accepted.
+            wish.exclude.clear();
+            wish.avoid = None;
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
         };
-        match attempt(node, entry, &target).await {
+        number += 1;
+        let (vm, fallback) = (flight.vm.clone(), flight.fallback.clone());
+        let version = flight.version.clone();
+        let stop = match attempt(node, entry, flight).await {
             Ok(finish) => return finish,
-            Err(Stop::Refused(kind, detail)) => return failed(kind, &detail),
-            Err(Stop::Lost(reason)) => {
-                let (id, offset) = (&entry.request.id, entry.offset());
-                log::info!("stream: {id} lost endpoint {} at {offset}: {reason}", target.vm);
-                exclude.push(target.vm);
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Err(stop) => stop,
+        };
+        if let Stop::Refused(kind, detail) = stop {
+            return failed(kind, &detail);
         }
+        let (id, offset) = (&request.id, entry.offset());
+        let reason = match &stop {
+            Stop::Lost(_, reason) => reason,
+            _ => "the endpoint is leaving",
+        };
+        log::info!("stream: {id} lost endpoint {vm} at offset {offset}: {reason}");
+        let subject = Subject { request: Some(id.clone()), ..Subject::default() };
+        node.record("stream", subject, format!("endpoint {vm} lost at offset {offset}: {reason}"));
+        node.metrics.resumed_streams.inc();
+        node.metrics.retries.with_label_values(&[&*request.service]).inc();
+        wish.exclude.push(vm);
+        wish.avoid = fallback.map(|_| version);
+        let pause = if matches!(stop, Stop::Leaving) {
+            Duration::ZERO
+        } else {
+            RETRY_PAUSE * 2u32.pow(number.min(LONGEST_DOUBLING))
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
-async fn attempt(node: &Arc<Node>, entry: &Entry, target: &Target) -> Result<Finish, Stop> {
+/// Makes one attempt and reports to routing and evidence how it ended.
+async fn attempt(node: &Arc<Node>, entry: &Entry, flight: Flight) -> Result<Finish, Stop> {
+    let began = Instant::now();
+    let before = entry.offset();
+    let mut first_byte = None;
+    let result = tokio::select! {
+        result = exchange(node, entry, &flight, &mut first_byte) => result,
+        () = left(node, &flight.vm) => Err(Stop::Leaving),
+    };
+    let tokens = entry.offset().saturating_sub(before);
+    let first_byte = first_byte.unwrap_or_else(|| began.elapsed());
+    match &result {
+        Ok(_) => {
+            let gaps = u32::try_from(tokens.saturating_sub(1)).unwrap_or(u32::MAX);
+            let streaming = began.elapsed().saturating_sub(first_byte);
+            let gap = (gaps > 0).then(|| streaming / gaps.max(1));
+            flight.succeeded(false, first_byte, gap);
+        }
+        Err(Stop::Lost(trouble, _)) => flight.failed(*trouble),
+        Err(Stop::Refused(..)) => flight.succeeded(true, first_byte, None),
+        Err(Stop::Leaving) => drop(flight),
+    }
+    result
+}
+
+/// Waits until an endpoint has to be left.
+async fn left(node: &Node, vm: &str) {
+    let mut leaving = node.leaving.subscribe();
+    let found = leaving.wait_for(|ids| ids.iter().any(|id| **id == *vm)).await.is_ok();
+    if !found {
+        std::future::pending().await
+    }
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    entry: &Entry,
+    flight: &Flight,
+    first_byte: &mut Option<Duration>,
+) -> Result<Finish, Stop> {
     let tokens = entry.tokens();
-    let pool = node.directory.pool(target.address);
+    let began = Instant::now();
+    let pool = node.directory.pool(flight.address);
     let request = Request::builder()
         .method(Method::POST)
         .uri("/v1/chat/completions")
-        .header(header::HOST, target.address.to_string())
+        .header(header::HOST, flight.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(REQUEST_ID, &*entry.request.id)
         .header(PRIORITY, entry.request.priority.to_string())
@@ -103,23 +186,46 @@
         .map_err(|error| Stop::Refused(Kind::BadRequest, error.to_string()))?;
     let id = request.headers().get(REQUEST_ID).cloned();
     let mut connection = pool.checkout().await.map_err(|failure| lost(failure.into()))?;
-    let response = connection.send(request).await.map_err(|failure| lost(failure.into()))?;
+    let sent = tokio::time::timeout(HEAD_SILENCE, connection.send(request)).await;
+    let response = match sent {
+        Ok(response) => response.map_err(|failure| lost(failure.into()))?,
+        Err(_) => return Err(silent(HEAD_SILENCE)),
+    };
     let mut lent = Lent::new(pool, connection);
     answer::check_head(&response, id.as_ref()).map_err(lost)?;
+    flight.load(response.headers());
     let status = response.status();
     if status != StatusCode::OK {
         return Err(refusal(status));
     }
-    let finish = relay(entry, tokens.len() as u64, response.into_body()).await?;
+    let seen = |elapsed| *first_byte = first_byte.or(Some(elapsed));
+    let start = Start { next: tokens.len() as u64, began };
+    let finish = relay(entry, start, response.into_body(), seen).await?;
     lent.release();
     Ok(finish)
 }
 
+fn silent(limit: Duration) -> Stop {
+    Stop::Lost(Trouble::Connection, format!("no byte for {limit:?}"))
+}
+
+/// Says where an attempt begins.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    next: u64,
+    began: Instant,
+}
+
 fn lost(fault: Fault) -> Stop {
-    Stop::Lost(match fault {
-        Fault::NotRun(reason) | Fault::Unknown(reason) | Fault::Incomplete(reason) => reason,
-        Fault::TooLarge => "the answer is too large".to_owned(),
-    })
+    match fault {
+        Fault::NotRun(reason) | Fault::Unknown(reason) => Stop::Lost(Trouble::Connection, reason),
+        Fault::Incomplete(reason) => broken(reason),
+        Fault::TooLarge => broken("the answer is too large"),
+    }
+}
+
+fn broken(reason: impl Into<String>) -> Stop {
+    Stop::Lost(Trouble::Answer, reason.into())
 }
 
 fn refusal(status: StatusCode) -> Stop {
@@ -127,66 +233,83 @@
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
         Stop::Refused(Kind::BadRequest, detail)
     } else {
-        Stop::Lost(detail)
+        broken(detail)
     }
 }
 
 /// Moves events from the engine to the journal and checks that they are whole and in order.
 async fn relay(
     entry: &Entry,
-    mut next: u64,
-    mut body: hyper::body::Incoming,
+    start: Start,
+    mut body: Incoming,
+    mut seen: impl FnMut(Duration),
 ) -> Result<Finish, Stop> {
     let mut splitter = sse::Splitter::default();
+    let mut next = start.next;
     let mut finish = None;
     loop {
-        let bytes = match tokio::time::timeout(SILENCE, body.frame()).await {
-            Err(_) => return Err(Stop::Lost(format!("no token for {SILENCE:?}"))),
-            Ok(None) => return Err(Stop::Lost("the stream ended early".to_owned())),
-            Ok(Some(Err(error))) => return Err(Stop::Lost(error.to_string())),
+        let limit = if next == start.next { HEAD_SILENCE } else { SILENCE };
+        let bytes = match tokio::time::timeout(limit, body.frame()).await {
+            Err(_) => return Err(silent(limit)),
+            Ok(None) => return Err(broken("the stream ended early")),
+            Ok(Some(Err(error))) => return Err(lost(Fault::Unknown(error.to_string()))),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_else(|_| Bytes::new()),
         };
-        splitter.push(&bytes).map_err(|reason| Stop::Lost(reason.to_owned()))?;
-        let mut tokens = Vec::new();
-        let mut done = false;
-        let mut broken = None;
-        while let Some(event) = splitter.next_event() {
-            if event == b"[DONE]" {
-                done = true;
-                break;
-            }
-            match step(event, &entry.request.id, next) {
-                Ok(Step { token, end }) => {
-                    if let Some(token) = token {
-                        tokens.push(token);
-                        next += 1;
-                    }
-                    finish = end.or(finish);
-                }
-                Err(reason) => {
-                    broken = Some(reason);
-                    break;
-                }
-            }
+        splitter.push(&bytes).map_err(broken)?;
+        let read = read_events(&mut splitter, &entry.request.id, next);
+        if !read.tokens.is_empty() {
+            seen(start.began.elapsed());
+            next += read.tokens.len() as u64;
+            entry.push(read.tokens);
         }
-        if !tokens.is_empty() {
-            entry.push(tokens);
+        finish = read.finish.or(finish);
+        match read.end {
+            None => {}
+            Some(Err(reason)) => return Err(broken(reason)),
+            Some(Ok(())) => {
+                let finish = finish.ok_or_else(|| broken("the stream has no finish reason"))?;
+                return close(body, finish).await;
+            }
         }
-        if let Some(reason) = broken {
-            return Err(Stop::Lost(reason));
+    }
+}
+
+/// Reads the terminator of the chunked body; without it the connection is not reusable.
+async fn close(body: Incoming, finish: Finish) -> Result<Finish, Stop> {
+    match tokio::time::timeout(SILENCE, body.collect()).await {
+        Ok(Ok(_)) => Ok(finish),
+        _ => Err(broken("the stream has no terminator")),
+    }
+}
+
+/// Holds what the events that have arrived so far say.
+struct Read {
+    tokens: Vec<Arc<str>>,
+    finish: Option<Finish>,
+    /// Set when the stream is over: as it should, or for a reason.
+    end: Option<Result<(), String>>,
+}
+
+fn read_events(splitter: &mut sse::Splitter, id: &str, mut next: u64) -> Read {
+    let mut read = Read { tokens: Vec::new(), finish: None, end: None };
+    while let Some(event) = splitter.next_event() {
+        if event == b"[DONE]" {
+            read.end = Some(Ok(()));
+            break;
         }
-        if done {
-            let Some(finish) = finish else {
-                return Err(Stop::Lost("the stream ended without a finish reason".to_owned()));
-            };
-            // The terminator of the chunked body must follow, or the connection is not reusable.
-            let rest = tokio::time::timeout(SILENCE, body.collect()).await;
-            return match rest {
-                Ok(Ok(_)) => Ok(finish),
-                _ => Err(Stop::Lost("the stream has no terminator".to_owned())),
-            };
+        match step(event, id, next) {
+            Ok(step) => {
+                next += u64::from(step.token.is_some());
+                read.tokens.extend(step.token);
+                read.finish = step.end.or(read.finish);
+            }
+            Err(reason) => {
+                read.end = Some(Err(reason));
+                break;
+            }
         }
     }
+    read
 }
 
 struct Step {
--- a/src/caller/target.rs
+++ b/src/caller/target.rs
@@ -1,40 +1,202 @@
-//! Chooses the endpoint for one attempt.
+//! Chooses version and endpoint for one attempt and reports how the attempt ended.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use http::HeaderMap;
 use smallvec::SmallVec;
 
 use crate::daemon::Node;
 use crate::error::{Error, Kind, Result};
 use crate::resource::Catalog;
+use crate::rollout::{self, Split};
+use crate::routing::Key;
+use crate::timeline::Subject;
 
-/// Names the endpoint of one attempt.
-#[derive(Debug, Clone)]
-pub struct Target {
-    pub version: Arc<str>,
+/// Names the header by which an engine reports running and queued requests.
+const LOAD: &str = "x-load";
+
+/// Holds what the choice depends on, over all attempts of one request.
+#[derive(Debug)]
+pub struct Wish {
+    pub service: Arc<str>,
+    /// Path template or protocol by which evidence is kept apart.
+    pub route: Arc<str>,
+    /// Prefix blocks of the prompt; empty for plain services.
+    pub blocks: SmallVec<[u64; 8]>,
+    pub hash: u64,
+    /// Endpoints that just failed this request.
+    pub exclude: SmallVec<[Arc<str>; 4]>,
+    /// New version that just failed this request.
+    pub avoid: Option<Arc<str>>,
+}
+
+impl Wish {
+    pub fn new(service: Arc<str>, route: Arc<str>, hash: u64) -> Wish {
+        let (blocks, exclude) = (SmallVec::new(), SmallVec::new());
+        Wish { service, route, blocks, hash, exclude, avoid: None }
+    }
+}
+
+/// Counts one attempt at an endpoint; dropping it counts as cancelled.
+#[derive(Debug)]
+pub struct Flight {
+    node: Arc<Node>,
     pub vm: Arc<str>,
     pub address: SocketAddr,
+    pub version: Arc<str>,
+    /// Old version that may run the request when the new one failed it.
+    pub fallback: Option<Arc<str>>,
+    service: Arc<str>,
+    route: Arc<str>,
+    pool: Arc<str>,
+    share_permille: u32,
+    started: Instant,
+    settled: bool,
 }
 
-/// Endpoints that an attempt must not use, since they just failed the same request.
-pub type Exclude = SmallVec<[Arc<str>; 4]>;
+/// Tells how an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// The endpoint could not be reached or went silent.
+    Connection,
+    /// The endpoint answered with an error or a broken answer.
+    Answer,
+}
 
-/// Chooses an endpoint of the serving version.
+/// Chooses an endpoint that is neither leaving nor excluded.
 ///
 /// # Errors
 ///
-/// Fails with `NoEndpoint` when every endpoint is leaving or excluded; nothing was sent.
-pub fn choose(node: &Node, catalog: &Catalog, service: &str, exclude: &Exclude) -> Result<Target> {
-    let missing = || Error::new(Kind::NoEndpoint, format!("service {service} has no endpoint"));
-    let version = catalog.serving(service).ok_or_else(missing)?;
-    let pool = catalog.version(&version).map(|version| version.pool.clone()).ok_or_else(missing)?;
-    let vms = node.vms.borrow().clone();
-    let usable: Vec<_> = vms
-        .iter()
-        .filter(|vm| vm.pool == pool && !vm.leaving && !exclude.contains(&vm.id))
-        .collect();
-    let index = usize::try_from(node.tick()).unwrap_or(0) % usable.len().max(1);
-    let vm = usable.get(index).ok_or_else(missing)?;
-    Ok(Target { version, vm: vm.id.clone(), address: vm.address })
+/// Fails with `NoEndpoint`; nothing was sent.
+pub fn choose(node: &Arc<Node>, catalog: &Catalog, wish: &Wish) -> Result<Flight> {
+    let missing = || {
+        let detail = format!("service {} has no endpoint that can be used", wish.service);
+        Error::new(Kind::NoEndpoint, detail)
+    };
+    let split = Split::of(catalog, &wish.service).ok_or_else(missing)?;
+    let mut choice = split.choose(wish.hash, &node.marks());
+    if wish.avoid.as_ref() == Some(&choice.version)
+        && let Some(fallback) = choice.fallback.take()
+    {
+        choice.version = fallback;
+    }
+    let pool = catalog.version(&choice.version).map(|version| version.pool.clone());
+    let pool = pool.ok_or_else(missing)?;
+    let now = node.now();
+    let key = Key { blocks: &wish.blocks, seed: wish.hash ^ node.tick() };
+    let candidate = node.with_table(&pool, |table| {
+        let candidate = table.choose(now, key, &wish.exclude)?;
+        table.started(now, &candidate.id);
+        Some(candidate)
+    });
+    let candidate = candidate.ok_or_else(missing)?;
+    Ok(Flight {
+        node: node.clone(),
+        vm: candidate.id,
+        address: candidate.address,
+        version: choice.version,
+        fallback: choice.fallback,
+        service: wish.service.clone(),
+        route: wish.route.clone(),
+        share_permille: choice.share_permille,
+        started: Instant::now(),
+        settled: false,
+        pool,
+    })
+}
+
+impl Flight {
+    /// Takes the load that the endpoint reported with its answer.
+    pub fn load(&self, headers: &HeaderMap) {
+        let text = headers.get(LOAD).and_then(|value| value.to_str().ok());
+        let parts = text.and_then(|text| text.split_once(','));
+        let parsed = parts
+            .and_then(|(run, wait)| Some((run.trim().parse().ok()?, wait.trim().parse().ok()?)));
+        if let Some((running, queued)) = parsed {
+            let now = self.node.now();
+            self.node.with_table(&self.pool, |table| table.load(now, &self.vm, running, queued));
+        }
+    }
+
+    /// Records an answer; an error status says that the version, not the endpoint, is in trouble.
+    pub fn succeeded(mut self, failed: bool, first_byte: Duration, token_gap: Option<Duration>) {
+        self.settled = true;
+        self.node.with_table(&self.pool, |table| table.finished(&self.vm));
+        self.observe(failed, first_byte, token_gap);
+        if !failed {
+            self.node.credit_retry(&self.service);
+        }
+    }
+
+    /// Records an attempt without a whole answer.
+    pub fn failed(mut self, trouble: Trouble) {
+        self.settled = true;
+        let now = self.node.now();
+        // An endpoint under notice is expected to break its connections.
+        let expected = self.node.is_leaving(&self.vm);
+        self.node.with_table(&self.pool, |table| match trouble {
+            Trouble::Connection => table.failed(now, &self.vm),
+            Trouble::Answer => table.finished(&self.vm),
+        });
+        if !expected {
+            self.observe(true, self.started.elapsed(), None);
+        }
+    }
+
+    fn observe(&self, failed: bool, first_byte: Duration, token_gap: Option<Duration>) {
+        let sample = rollout::Sample {
+            route: &self.route,
+            share_permille: self.share_permille,
+            failed,
+            first_byte,
+            token_gap,
+        };
+        let mark = self.node.observer().record(&self.service, &self.version, &sample);
+        if let Some(mark) = mark {
+            self.node.add_marks(vec![mark], "own evidence");
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.node.with_table(&self.pool, |table| table.cancelled(&self.vm));
+        }
+    }
+}
+
+impl Node {
+    /// Takes marks into effect at once and passes new ones on to peers.
+    pub fn add_marks(self: &Arc<Node>, marks: Vec<rollout::Mark>, source: &str) {
+        let mut added = Vec::new();
+        for mark in marks {
+            if self.marks().insert(mark.clone()) {
+                added.push(mark);
+            }
+        }
+        for mark in &added {
+            let version = &mark.key.version;
+            log::warn!("rollout: version {version} is marked bad from {source}: {}", mark.reason);
+            let subject = Subject {
+                move_name: Some(mark.key.name.clone()),
+                service: Some(mark.key.service.clone()),
+                ..Subject::default()
+            };
+            let text = format!("version {version} marked bad from {source}: {}", mark.reason);
+            self.record("rollout", subject, text);
+        }
+        if !added.is_empty() && self.network.get().is_some() {
+            tokio::spawn(spread(self.clone()));
+        }
+    }
+}
+
+async fn spread(node: Arc<Node>) {
+    let all: Vec<_> = node.marks().iter().collect();
+    if let Some(network) = node.network.get() {
+        network.set_marks(all).await;
+    }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,13 +1,26 @@
 //! State that the parts of one daemon share.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use tokio::sync::watch;
 
+use crate::caller::admit;
 use crate::config::Settings;
+use crate::metric::Metrics;
 use crate::platform::{self, Vm};
-use crate::{claim, endpoint, revision, stream};
+use crate::timeline::{self, Subject};
+use crate::{claim, endpoint, peer, retry, revision, rollout, routing, stream};
+
+/// Events kept in memory until a batch holds them; at most about 4 MB.
+const TIMELINE_EVENTS: usize = 4_096;
+/// Attempts per second that a service may repeat without any success, and most attempts saved up.
+const RETRY_FLOOR: f64 = 2.0;
+const RETRY_SAVED: f64 = 100.0;
 
 /// Holds the state of one entry VM; everything in it is lost with the process.
 #[derive(Debug)]
@@ -20,29 +33,72 @@
     pub journal: stream::Journal,
     pub directory: endpoint::Directory,
     pub batcher: claim::Batcher,
+    pub admit: admit::Doors,
+    pub metrics: Metrics,
+    pub timeline: Arc<timeline::Buffer>,
+    pub policy: retry::Policy,
     pub vms: watch::Sender<Arc<Vec<Vm>>>,
+    /// Ids of endpoint VMs that must not get new work and whose streams move away.
+    pub leaving: watch::Sender<Arc<Vec<Arc<str>>>>,
     /// Turns true when a planned stop begins.
     pub stopping: watch::Sender<bool>,
+    /// Set when the platform reclaims this VM: the time at which it is gone.
+    pub stop_by: watch::Sender<Option<Instant>>,
+    /// Set once when the network to the other daemons has started.
+    pub network: OnceLock<Arc<peer::Network>>,
+    started: Instant,
     counter: AtomicU64,
+    tables: Mutex<HashMap<Arc<str>, routing::Table>>,
+    budgets: Mutex<HashMap<Arc<str>, retry::Budget>>,
+    marks: Mutex<rollout::Marks>,
+    observer: Mutex<rollout::Observer>,
+    controller: Mutex<rollout::Controller>,
+    random: Mutex<StdRng>,
 }
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
         let client = platform::Client::new(settings.platform, settings.timing.platform_timeout);
+        let incarnation = claim::keeper::unix_ms();
+        let timeline = timeline::Buffer::new(settings.node.clone(), incarnation, TIMELINE_EVENTS);
         Node {
-            incarnation: claim::keeper::unix_ms(),
             batcher: claim::Batcher::start(client.clone(), settings.timing.claim_window),
             journal: stream::Journal::new(settings.limits.journal_entries),
-            revision: Arc::default(),
-            directory: endpoint::Directory::default(),
+            timeline: Arc::new(timeline),
+            random: Mutex::new(StdRng::seed_from_u64(rand::random())),
             vms: watch::Sender::new(Arc::default()),
+            leaving: watch::Sender::new(Arc::default()),
             stopping: watch::Sender::new(false),
+            stop_by: watch::Sender::new(None),
+            policy: retry::Policy::default(),
+            started: Instant::now(),
+            revision: Arc::default(),
+            directory: endpoint::Directory::default(),
+            admit: admit::Doors::default(),
+            metrics: Metrics::new(),
+            network: OnceLock::new(),
             counter: AtomicU64::new(0),
+            tables: Mutex::default(),
+            budgets: Mutex::default(),
+            marks: Mutex::default(),
+            observer: Mutex::default(),
+            controller: Mutex::default(),
+            incarnation,
             client,
             settings,
         }
     }
 
+    /// Gives the time since the start of the daemon, for decisions that take the time as argument.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Converts an instant to the time scale of `now`.
+    pub fn time_of(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.started)
+    }
+
     /// Gives a number that differs with each call.
     pub fn tick(&self) -> u64 {
         self.counter.fetch_add(1, Ordering::Relaxed)
@@ -59,6 +115,74 @@
 
     /// Tells whether callers may send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.revision.current().revision > 0
+        !self.is_stopping() && self.revision.is_ready()
+    }
+
+    /// Tells whether an endpoint VM has to be left.
+    pub fn is_leaving(&self, vm: &str) -> bool {
+        self.leaving.borrow().iter().any(|id| **id == *vm)
+    }
+
+    /// Lists the members of the cluster; empty before the network has started.
+    pub fn members(&self) -> Vec<crate::membership::Member> {
+        self.network.get().map(|network| network.members()).unwrap_or_default()
+    }
+
+    /// Puts an event on the time line.
+    pub fn record(&self, part: &'static str, subject: Subject, text: String) {
+        let draft = timeline::Draft { part, subject, text, ..timeline::Draft::default() };
+        self.timeline.record(claim::keeper::unix_ms(), draft);
+    }
+
+    /// Uses the routing table of a pool; it starts empty.
+    pub fn with_table<T>(&self, pool: &Arc<str>, act: impl FnOnce(&mut routing::Table) -> T) -> T {
+        let mut tables = lock(&self.tables);
+        let table = tables.entry(pool.clone()).or_insert_with(|| {
+            let place = routing::Place {
+                node: self.settings.node.clone(),
+                failure_domain: self.settings.failure_domain.clone(),
+                region: self.settings.region.clone(),
+            };
+            routing::Table::new(place, self.incarnation)
+        });
+        act(table)
+    }
+
+    /// Gives the routing tables that exist.
+    pub fn tables(&self) -> MutexGuard<'_, HashMap<Arc<str>, routing::Table>> {
+        lock(&self.tables)
+    }
+
+    /// Decides whether a failed attempt is repeated, within the budget of its service.
+    pub fn decide_retry(&self, service: &Arc<str>, attempt: retry::Attempt) -> retry::Decision {
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| retry::Budget::new(now, RETRY_FLOOR, RETRY_SAVED));
+        self.policy.decide(now, attempt, budget, &mut lock(&self.random))
+    }
+
+    /// Credits the retry budget of a service after a success.
+    pub fn credit_retry(&self, service: &Arc<str>) {
+        if let Some(budget) = lock(&self.budgets).get_mut(service) {
+            budget.succeeded();
+        }
     }
+
+    pub fn marks(&self) -> MutexGuard<'_, rollout::Marks> {
+        lock(&self.marks)
+    }
+
+    pub fn observer(&self) -> MutexGuard<'_, rollout::Observer> {
+        lock(&self.observer)
+    }
+
+    pub fn controller(&self) -> MutexGuard<'_, rollout::Controller> {
+        lock(&self.controller)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -69,6 +69,7 @@
     AnswerIncomplete,
     AnswerTooLarge,
     StreamGone,
+    StreamMoved,
     Internal,
 }
 
@@ -83,7 +84,7 @@
 
 impl Kind {
     /// Lists every kind, so that tests and documents can walk the table.
-    pub const ALL: [Kind; 24] = [
+    pub const ALL: [Kind; 25] = [
         Kind::BadRequest,
         Kind::Unauthorized,
         Kind::Forbidden,
@@ -107,6 +108,7 @@
         Kind::AnswerIncomplete,
         Kind::AnswerTooLarge,
         Kind::StreamGone,
+        Kind::StreamMoved,
         Kind::Internal,
     ];
 
@@ -137,6 +139,7 @@
             Kind::AnswerIncomplete => ("answer_incomplete", 502, Run::Yes, Check),
             Kind::AnswerTooLarge => ("answer_too_large", 502, Run::Yes, Check),
             Kind::StreamGone => ("stream_gone", 410, Run::Unknown, Check),
+            Kind::StreamMoved => ("stream_moved", 503, Run::Yes, Check),
             Kind::Internal => ("internal", 500, Run::Unknown, Check),
         };
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,116 @@
+//! Metrics in the Prometheus text format, with a bounded number of label values.
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Holds the metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service and result; services are declared, so their number is bounded.
+    pub requests: IntCounterVec,
+    pub retries: IntCounterVec,
+    pub tokens: IntCounter,
+    pub recomputed_tokens: IntCounter,
+    pub resumed_streams: IntCounter,
+    pub handed_over: IntCounter,
+    pub in_flight: IntGauge,
+    pub revision: IntGauge,
+    pub members_alive: IntGauge,
+    pub peer_bytes_sent: IntGauge,
+    pub peer_bytes_received: IntGauge,
+    pub peer_frames_dropped: IntGauge,
+}
+
+impl Metrics {
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        Metrics {
+            requests: counters(
+                &registry,
+                "pomelolink_requests_total",
+                "Requests by result.",
+                &["service", "result"],
+            ),
+            retries: counters(
+                &registry,
+                "pomelolink_retries_total",
+                "Attempts after the first one.",
+                &["service"],
+            ),
+            tokens: counter(&registry, "pomelolink_tokens_total", "Tokens relayed to callers."),
+            recomputed_tokens: counter(
+                &registry,
+                "pomelolink_recomputed_tokens_total",
+                "Tokens computed again after a stream was resumed on another endpoint.",
+            ),
+            resumed_streams: counter(
+                &registry,
+                "pomelolink_resumed_streams_total",
+                "Streams resumed on another endpoint.",
+            ),
+            handed_over: counter(
+                &registry,
+                "pomelolink_handed_over_total",
+                "Streams handed over to another entry VM.",
+            ),
+            in_flight: gauge(&registry, "pomelolink_in_flight", "Accepted requests in progress."),
+            revision: gauge(&registry, "pomelolink_config_revision", "Configuration in effect."),
+            members_alive: gauge(&registry, "pomelolink_members_alive", "Members seen alive."),
+            peer_bytes_sent: gauge(
+                &registry,
+                "pomelolink_peer_sent_bytes",
+                "Bytes sent to other daemons since the start.",
+            ),
+            peer_bytes_received: gauge(
+                &registry,
+                "pomelolink_peer_received_bytes",
+                "Bytes received from other daemons since the start.",
+            ),
+            peer_frames_dropped: gauge(
+                &registry,
+                "pomelolink_peer_frames_dropped",
+                "Frames dropped since the start: unknown version, wrong tag, replay or garbage.",
+            ),
+            registry,
+        }
+    }
+
+    /// Gives all metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metric: metrics could not be encoded: {error}");
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels);
+    register(registry, metric)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(name, help))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(name, help))
+}
+
+/// Registers a metric. Names are constants of this file, so a failure is a mistake in it that every
+/// test would show.
+fn register<M: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<M>,
+) -> M {
+    let metric = metric.expect("metric names and labels are valid");
+    registry.register(Box::new(metric.clone())).expect("metric names are unique");
+    metric
+}
--- a/src/peer/datagram.rs
+++ b/src/peer/datagram.rs
@@ -8,9 +8,10 @@
 use tokio::time;
 
 use super::counter::Counter;
-use super::message::{Content, Datagram, Mark, digest};
+use super::message::{Content, Datagram, digest, shorten};
 use super::{FANOUT, Hint, Shared};
 use crate::membership::TICKS_PER_PERIOD;
+use crate::rollout::Mark;
 use crate::wire;
 
 /// Encoded bytes of marks in one datagram; the rest is for the header, the hints and the tag.
@@ -36,7 +37,7 @@
     /// Replaces the marks; tells whether the digest has changed.
     pub(super) fn set(&mut self, mut marks: Vec<Mark>) -> bool {
         // Sorted first, so that nodes with the same marks keep the same ones.
-        marks.sort_unstable();
+        marks.sort_unstable_by(|one, other| one.key.cmp(&other.key));
         marks.truncate(MAX_MARKS);
         let digest = digest(&marks);
         let changed = digest != self.digest;
@@ -69,9 +70,11 @@
         let mut part = Vec::new();
         let mut bytes = 0;
         for mark in &self.all {
-            let mark = Mark::new(&mark.service, &mark.version, &mark.reason);
-            // Each text is preceded by its length in at most two bytes.
-            let size = mark.service.len() + mark.version.len() + mark.reason.len() + 6;
+            let mark = shorten(mark);
+            // Each text is preceded by its length in at most two bytes, the time takes up to ten.
+            let key = &mark.key;
+            let names = key.service.len() + key.version.len() + key.name.len();
+            let size = names + mark.reason.len() + 18;
             if bytes + size > MARKS_BYTES {
                 parts.push(std::mem::take(&mut part));
                 bytes = 0;
@@ -94,7 +97,7 @@
             let mut datagram = Datagram { revision, marks, content };
             match self.codec.seal(&datagram) {
                 Ok(bytes) => return self.transmit(address, &bytes).await,
-                Err(wire::Error::Oversize) if shorten(&mut datagram.content) => {
+                Err(wire::Error::Oversize) if halve_news(&mut datagram.content) => {
                     content = datagram.content;
                 }
                 Err(error) => {
@@ -161,7 +164,7 @@
 }
 
 /// Halves the news in a datagram that names of unusual length have made too large.
-fn shorten(content: &mut Content) -> bool {
+fn halve_news(content: &mut Content) -> bool {
     let Content::Probe(message) = content else { return false };
     let updates = &mut message.updates.0;
     let shortened = !updates.is_empty();
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -376,12 +376,16 @@
 impl Service {
     /// Tells whether a request may be sent again, by declaration or else by RFC 9110 method.
     pub fn is_idempotent(&self, method: &http::Method, path: &str) -> bool {
+        self.route(method, path).map_or_else(|| method.is_idempotent(), |route| route.idempotent)
+    }
+
+    /// Finds the most specific route that covers a request.
+    pub fn route(&self, method: &http::Method, path: &str) -> Option<&Route> {
         let matching = self.routes.iter().filter(|route| {
             let right_method = route.method.as_ref().is_none_or(|name| **name == *method.as_str());
             right_method && is_below(path, &route.path)
         });
-        let longest = matching.max_by_key(|route| (route.path.len(), route.method.is_some()));
-        longest.map_or_else(|| method.is_idempotent(), |route| route.idempotent)
+        matching.max_by_key(|route| (route.path.len(), route.method.is_some()))
     }
 }
 
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -4,6 +4,7 @@
 //! another node can go on exactly after an offset; see `docs/design.md`, section 8.
 
 pub mod journal;
+pub mod remote;
 
 use std::sync::Arc;
 
@@ -16,6 +17,8 @@
 
 /// Separates the accepting node from the rest of a stream id.
 const NODE_SEPARATOR: char = '~';
+/// Stands for the event before the first one, for callers that have seen none.
+const BEFORE_FIRST: &str = "-1";
 
 /// Holds an accepted chat request as every node can carry it on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,5 +56,8 @@
 pub fn parse_event_id(text: &str) -> Option<(&str, u64)> {
     let (id, last) = text.rsplit_once('.')?;
     owner(id)?;
+    if last == BEFORE_FIRST {
+        return Some((id, 0));
+    }
     Some((id, last.parse::<u64>().ok()?.checked_add(1)?))
 }
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -40,6 +40,21 @@
     finish: Option<Finish>,
     ended: Option<Instant>,
     read: Option<Instant>,
+    mode: Mode,
+}
+
+/// Tells what this node does for a stream.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    /// Holds a copy.
+    #[default]
+    Copy,
+    /// Follows the node that carries the stream.
+    Mirror,
+    /// Carries the stream over endpoints.
+    Carry,
+    /// Has handed the stream over and adds nothing any more.
+    Detached,
 }
 
 /// Holds what a reader gets in one step.
@@ -47,6 +62,8 @@
 pub struct Part {
     pub tokens: Vec<Arc<str>>,
     pub finish: Option<Finish>,
+    /// Set when the stream goes on at another node; the reader has to resume there.
+    pub moved: bool,
 }
 
 impl Journal {
@@ -79,10 +96,12 @@
         self.lock().remove(id);
     }
 
-    /// Lists the streams that have not ended.
+    /// Lists the streams that this node carries and that have not ended.
     pub fn unfinished(&self) -> Vec<Arc<Entry>> {
         let entries = self.lock();
-        entries.values().filter(|entry| entry.finish().is_none()).cloned().collect()
+        let carried =
+            entries.values().filter(|entry| entry.finish().is_none() && entry.is_carried());
+        carried.cloned().collect()
     }
 
     pub fn len(&self) -> usize {
@@ -93,11 +112,19 @@
         self.len() == 0
     }
 
-    /// Forgets streams that ended longer ago than `keep`.
+    /// Forgets streams that ended longer ago than `keep`, and copies past their deadline.
     pub fn sweep(&self, now: Instant, keep: Duration) {
         self.lock().retain(|_, entry| {
-            let ended = entry.lock().ended;
-            ended.is_none_or(|ended| now.saturating_duration_since(ended) < keep)
+            let (ended, mode) = {
+                let progress = entry.lock();
+                (progress.ended, progress.mode)
+            };
+            let end = match (ended, mode) {
+                (Some(ended), _) => ended,
+                (None, Mode::Carry) => return true,
+                (None, _) => entry.deadline(),
+            };
+            now.saturating_duration_since(end) < keep
         });
     }
 
@@ -134,7 +161,7 @@
     /// Adds tokens that follow directly on those held so far.
     pub fn push(&self, tokens: impl IntoIterator<Item = Arc<str>>) {
         let mut progress = self.lock();
-        if progress.finish.is_none() {
+        if progress.finish.is_none() && progress.mode != Mode::Detached {
             progress.tokens.extend(tokens);
             drop(progress);
             self.wake();
@@ -144,7 +171,7 @@
     /// Ends the stream; the first call counts.
     pub fn close(&self, finish: Finish) {
         let mut progress = self.lock();
-        if progress.finish.is_none() {
+        if progress.finish.is_none() && progress.mode != Mode::Detached {
             progress.finish = Some(finish);
             progress.ended = Some(Instant::now());
             drop(progress);
@@ -152,6 +179,60 @@
         }
     }
 
+    /// Adds what goes beyond the tokens held so far; tokens that leave a gap are ignored.
+    pub fn extend_to(&self, offset: u64, tokens: Vec<Arc<str>>) {
+        let held = self.offset();
+        if let Some(known) = held.checked_sub(offset).and_then(|known| usize::try_from(known).ok())
+        {
+            let new: Vec<_> = tokens.into_iter().skip(known).collect();
+            if !new.is_empty() {
+                self.push(new);
+            }
+        }
+    }
+
+    /// Makes this node the carrier; tells whether it was not yet.
+    pub fn start_carrying(&self) -> bool {
+        self.enter(Mode::Carry, |mode| matches!(mode, Mode::Copy | Mode::Mirror))
+    }
+
+    /// Makes this node a mirror; tells whether it held only a copy.
+    pub fn start_mirroring(&self) -> bool {
+        self.enter(Mode::Mirror, |mode| mode == Mode::Copy)
+    }
+
+    /// Stops adding to the stream, since another node carries it from here on.
+    pub fn detach(&self) {
+        if self.enter(Mode::Detached, |_| true) {
+            self.wake();
+        }
+    }
+
+    pub fn is_carried(&self) -> bool {
+        self.lock().mode == Mode::Carry
+    }
+
+    /// Waits until the stream has been handed over.
+    pub async fn detached(&self) {
+        let mut changes = self.changes.subscribe();
+        while self.lock().mode != Mode::Detached {
+            let _ = changes.changed().await;
+        }
+    }
+
+    fn enter(&self, mode: Mode, from: impl Fn(Mode) -> bool) -> bool {
+        let mut progress = self.lock();
+        let allowed = progress.finish.is_none() && progress.mode != mode && from(progress.mode);
+        if allowed {
+            progress.mode = mode;
+        }
+        allowed
+    }
+
+    pub fn deadline(&self) -> Instant {
+        self.accepted + Duration::from_millis(self.request.deadline_ms)
+    }
+
     pub fn offset(&self) -> u64 {
         self.lock().tokens.len() as u64
     }
@@ -180,11 +261,14 @@
     }
 
     /// Gives what follows an offset at once, even if that is nothing.
-    pub fn read_now(&self, offset: u64) -> Part {
-        let mut progress = self.lock();
-        progress.read = Some(Instant::now());
+    pub fn peek(&self, offset: u64) -> Part {
+        let progress = self.lock();
         let start = usize::try_from(offset).unwrap_or(usize::MAX).min(progress.tokens.len());
-        Part { tokens: progress.tokens[start..].to_vec(), finish: progress.finish.clone() }
+        Part {
+            tokens: progress.tokens[start..].to_vec(),
+            finish: progress.finish.clone(),
+            moved: progress.mode == Mode::Detached,
+        }
     }
 
     /// Waits until something follows an offset.
@@ -192,8 +276,8 @@
         let mut changes = self.changes.subscribe();
         loop {
             changes.mark_unchanged();
-            let part = self.read_now(offset);
-            if !part.tokens.is_empty() || part.finish.is_some() {
+            let part = self.peek(offset);
+            if !part.tokens.is_empty() || part.finish.is_some() || part.moved {
                 return part;
             }
             // The sender lives in this entry, so waiting can't fail.
@@ -201,13 +285,14 @@
         }
     }
 
-    /// Waits until the stream has ended.
-    pub async fn wait(&self) -> Finish {
+    /// Waits until the stream has ended; `None` when it goes on at another node.
+    pub async fn wait(&self) -> Option<Finish> {
         let mut changes = self.changes.subscribe();
         loop {
             changes.mark_unchanged();
-            if let Some(finish) = self.finish() {
-                return finish;
+            let part = self.peek(u64::MAX);
+            if part.finish.is_some() || part.moved {
+                return part.finish;
             }
             let _ = changes.changed().await;
         }
