--- a/tests/peer_network.rs
+++ b/tests/peer_network.rs
@@ -111,17 +111,6 @@
     assert_eq!(seed.network.members().len(), 1);
 }
 
-fn mark(index: usize, reason: &str) -> Mark {
-    let version = format!("chat-{index}").into();
-    let key = Key {
-        accepted_ms: 1_800_000_000_000,
-        service: "chat".into(),
-        version,
-        name: "move".into(),
-    };
-    Mark { key, reason: reason.into() }
-}
-
 /// Fails when a restarted node whose clock ran backwards stays locked out.
 #[tokio::test]
 async fn lower_incarnation_is_raised() {
@@ -164,6 +153,17 @@
     assert_eq!(node.network.counters().dropped(wire::Error::Oversize), 1);
 }
 
+fn mark(index: usize, reason: &str) -> Mark {
+    let version = format!("chat-{index}").into();
+    let key = Key {
+        accepted_ms: 1_800_000_000_000,
+        service: "chat".into(),
+        version,
+        name: "move".into(),
+    };
+    Mark { key, reason: reason.into() }
+}
+
 /// Fails when a node that takes no part in the first sending of marks does not get them later.
 #[tokio::test]
 async fn marks_reach_all_nodes() {
--- a/tests/wire_frames.rs
+++ b/tests/wire_frames.rs
@@ -37,10 +37,10 @@
     Datagram { revision: 12, marks: 3, content: Content::Probe(message) }
 }
 
-fn mark(service: &str, version: &str, reason: &str) -> Mark {
-    let (service, version) = (service.into(), version.into());
-    let key = Key { accepted_ms: 1_800_000_000_000, service, version, name: "shift".into() };
-    Mark { key, reason: reason.into() }
+fn mark(service: &str) -> Mark {
+    let (service, version, name) = (service.into(), "chat-2".into(), "move".into());
+    let key = Key { accepted_ms: 1_800_000_000_000, service, version, name };
+    Mark { key, reason: "20 failing responses".into() }
 }
 
 /// Fails when a datagram changes on its way, or a receiver accepts it twice.
@@ -81,7 +81,7 @@
     assert_eq!(open(&bytes[..40]), Error::Short);
     assert_eq!(open(&bytes[..bytes.len() - 1]), Error::Tag);
     assert_eq!(open(&vec![1; wire::DATAGRAM_BYTES + 1]), Error::Oversize);
-    let long = mark(&"s".repeat(200), "v", "r");
+    let long = mark(&"s".repeat(200));
     let marks = Datagram { content: Content::Marks(vec![long; 10]), ..datagram(0) };
     assert_eq!(sender.seal(&marks), Err(Error::Oversize));
     // A right tag over a body of another type, with trailing bytes, or with too many updates.
@@ -188,7 +188,7 @@
 #[test]
 fn mutated_bodies_are_errors() {
     let mut rng = SmallRng::seed_from_u64(13);
-    let mark = mark("chat", "chat-2", "20 failing responses");
+    let mark = mark("chat");
     let marks = Datagram { content: Content::Marks(vec![mark; 3]), ..datagram(0) };
     let mut decoded = 0;
     for round in 0..200_000 {
