Allow for chance differences between many routes and windows

Good versions were wrongly taken back in 11 of 1,197 moves at 1,000 req/s and 60 s: each route and each recent window is another chance to differ. Their strength is now reduced accordingly.

--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -16,6 +16,9 @@
 const MARK_RESPONSES: u32 = 20;
 /// Strength from which a difference counts as proven; about 1 in 30,000 by chance per look.
 const MARK_STRENGTH: f64 = 8.0;
+/// Strength taken off differences in the recent windows: there are many of them during a move, and
+/// each is another chance for a good version to look bad.
+const RECENT_CHANCE: f64 = 2.0;
 /// Responses with latency needed before a mean latency is compared; the first requests after a
 /// start are often slow on a good version too.
 const SLOW_RESPONSES: u32 = 40;
@@ -103,7 +106,7 @@
 pub fn judge(evidence: &Evidence, targets: &Targets) -> Option<Signal> {
     let mut best = None;
     for stratum in &evidence.strata {
-        offer(&mut best, judge_stratum(stratum, targets));
+        offer(&mut best, judge_stratum(stratum, targets), 0.0);
     }
     best
 }
@@ -111,32 +114,39 @@
 /// Gives the clearest sign that the new version was worse at one share.
 pub fn judge_stratum(stratum: &Stratum, targets: &Targets) -> Option<Signal> {
     let mut best = None;
-    let overall = (stratum.routes.len() > 1).then(|| stratum.overall());
-    for route in stratum.routes.iter().chain(&overall) {
-        compare_route(route, targets, &mut best);
+    // The more routes are compared, the more often one of them differs by chance.
+    let chance = (stratum.routes.len().max(1) as f64).ln();
+    for route in &stratum.routes {
+        compare_route(route, targets, chance, &mut best);
+    }
+    if stratum.routes.len() > 1 {
+        compare_route(&stratum.overall(), targets, 0.0, &mut best);
     }
     best
 }
 
-fn compare_route(route: &Route, targets: &Targets, best: &mut Option<Signal>) {
-    let ranges: [fn(&Ranges) -> &Tally; 2] = [|ranges| &ranges.total, |ranges| &ranges.current];
-    for range in ranges {
+/// Compares both versions on one route; `chance` is taken off the strength of each difference.
+fn compare_route(route: &Route, targets: &Targets, chance: f64, best: &mut Option<Signal>) {
+    let ranges: [(fn(&Ranges) -> &Tally, f64); 2] =
+        [(|ranges| &ranges.total, chance), (|ranges| &ranges.current, chance + RECENT_CHANCE)];
+    for (range, chance) in ranges {
         let (new, old) = (range(&route.new), range(&route.old));
         for symptom in [Symptom::Failing, Symptom::Late] {
-            offer(best, rate_signal(symptom, route, &[(new, old)]));
+            offer(best, rate_signal(symptom, route, &[(new, old)]), chance);
         }
-        offer(best, slow_signal(Symptom::SlowStart, route, new, old, targets));
-        offer(best, slow_signal(Symptom::SlowTokens, route, new, old, targets));
+        offer(best, slow_signal(Symptom::SlowStart, route, new, old, targets), chance);
+        offer(best, slow_signal(Symptom::SlowTokens, route, new, old, targets), chance);
     }
     let recent = [(&route.new.current, &route.old.current), (&route.new.older, &route.old.older)];
     for symptom in [Symptom::Failing, Symptom::Late] {
-        offer(best, rate_signal(symptom, route, &recent));
+        offer(best, rate_signal(symptom, route, &recent), chance + RECENT_CHANCE);
     }
 }
 
 /// Keeps the stronger signal; proof comes before any strength without enough responses.
-fn offer(best: &mut Option<Signal>, signal: Option<Signal>) {
-    let Some(signal) = signal else { return };
+fn offer(best: &mut Option<Signal>, signal: Option<Signal>, chance: f64) {
+    let Some(mut signal) = signal else { return };
+    signal.strength -= chance;
     let rank = |signal: &Signal| (signal.is_proof(), signal.strength);
     if best.as_ref().is_none_or(|known| rank(&signal) > rank(known)) {
         *best = Some(signal);
