--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -32,6 +32,7 @@
 /// the move closes, because afterwards nothing takes a bad version back.
 const LEAST_REQUESTS: f64 = 20.0;
 const LEAST_LAST_REQUESTS: f64 = 100.0;
+const LEAST_ROUTE_REQUESTS: f64 = 40.0;
 /// Strength from which a share is not raised, with few and with fewest bad responses: a single
 /// failure at low traffic would otherwise hold a good version until its deadline.
 const DOUBT: f64 = 2.5;
@@ -249,7 +250,7 @@
         let overall = stratum.overall();
         let all = f64::from(requests(&overall).0 + requests(&overall).1).max(1.0);
         let last = next_share(self.share).is_none();
-        let least_on_route = if last { LEAST_REQUESTS } else { 0.0 };
+        let least_on_route = if last { LEAST_ROUTE_REQUESTS } else { 0.0 };
         let route_confirmed = |route: &Route| {
             let (new, old) = requests(route);
             let part = f64::from(new + old) / all;
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::resource;
-use crate::rollout::evidence::{Evidence, Moments, Ranges, Route, Stratum, Tally};
+use crate::rollout::evidence::{Evidence, Moments, Route, Stratum, Tally};
 
 /// Failing or late responses below which a node does not mark a version (target of the design).
 const MARK_RESPONSES: u32 = 20;
@@ -127,10 +127,11 @@
 
 /// Compares both versions on one route; `chance` is taken off the strength of each difference.
 fn compare_route(route: &Route, targets: &Targets, chance: f64, best: &mut Option<Signal>) {
-    let ranges: [(fn(&Ranges) -> &Tally, f64); 2] =
-        [(|ranges| &ranges.total, chance), (|ranges| &ranges.current, chance + RECENT_CHANCE)];
-    for (range, chance) in ranges {
-        let (new, old) = (range(&route.new), range(&route.old));
+    let ranges = [
+        (&route.new.total, &route.old.total, chance),
+        (&route.new.current, &route.old.current, chance + RECENT_CHANCE),
+    ];
+    for (new, old, chance) in ranges {
         for symptom in [Symptom::Failing, Symptom::Late] {
             offer(best, rate_signal(symptom, route, &[(new, old)]), chance);
         }
