Judge moves on all shares and only with current reports

A new lease holder without reports, or one cut off from most nodes, raised shares blindly; it now holds until most known nodes have reported. Evidence of all shares is now also judged together.

--- a/examples/rollout/simulation.rs
+++ b/examples/rollout/simulation.rs
@@ -269,7 +269,7 @@
         for (index, node) in nodes.iter().enumerate() {
             let name: Arc<str> = format!("node-{index}").into();
             for report in node.observer.reports(&name, now + 1) {
-                controller.report(report);
+                controller.report(report, ACCEPTED_MS + now);
             }
         }
         for decision in controller.decide(&catalog, &holder_marks, ACCEPTED_MS + now) {
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -13,7 +13,7 @@
 pub use evidence::{Evidence, OVERFLOW_ROUTE, ROUTES, Report, Sample, Side, Stratum, Tally};
 pub use mark::{Key, MARKS, Mark, Marks};
 pub use observer::Observer;
-pub use verdict::{Signal, Symptom, Targets, judge, judge_stratum};
+pub use verdict::{Signal, Symptom, Targets, judge, judge_shares, judge_stratum};
 
 use std::sync::Arc;
 
--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -75,8 +75,8 @@
 
 impl Controller {
     /// Takes the report of a node; repeats and older reports change nothing.
-    pub fn report(&mut self, report: Report) -> bool {
-        self.reports.entry(report.key.clone()).or_default().accept(report)
+    pub fn report(&mut self, report: Report, now_ms: u64) -> bool {
+        self.reports.entry(report.key.clone()).or_default().accept(report, now_ms)
     }
 
     /// Decides a step for each open move; `now_ms` counts from the Unix epoch.
@@ -98,12 +98,17 @@
             }
             let Some(service) = catalog.service(&spec.service) else { continue };
             let key = Key::of(id, spec, progress);
-            let evidence = self.reports.get(&key).map(Reports::sum).unwrap_or_default();
+            let reports = self.reports.get(&key);
+            let evidence = reports.map(Reports::sum).unwrap_or_default();
             let view = View::new(spec, progress, &evidence, Targets::of(service), now_ms);
-            let (step, mark) = match marks.reason(&key) {
+            let (mut step, mark) = match marks.reason(&key) {
                 Some(reason) => (Step::Revert { reason: reason.clone() }, None),
                 None => view.step(&key),
             };
+            let current = reports.is_some_and(|reports| reports.is_current(now_ms));
+            if !current && matches!(step, Step::Raise { .. } | Step::Close) {
+                step = Step::Hold;
+            }
             open.push(key.clone());
             decisions.push(Decision { id: id.clone(), key, step, mark });
         }
@@ -168,7 +173,8 @@
         }
         let stratum = self.evidence.stratum(self.share);
         let signal = stratum.and_then(|stratum| verdict::judge_stratum(stratum, &self.targets));
-        if let Some(signal) = signal.filter(is_doubt) {
+        let signals = [signal, verdict::judge_shares(self.evidence)];
+        if let Some(signal) = signals.into_iter().flatten().find(is_doubt) {
             return self.step_in_doubt(&signal);
         }
         let due = self.is_due();
--- a/src/rollout/evidence.rs
+++ b/src/rollout/evidence.rs
@@ -29,10 +29,15 @@
 const RATE_WEIGHT: f32 = 1.0 / 32.0;
 const OUTAGE_BEGINS: f32 = 0.3;
 const OUTAGE_ENDS: f32 = 0.1;
-/// Strata kept: the current share, and the one before while its last requests finish.
-const STRATA: usize = 2;
+/// Strata kept; a move has five shares, of which the first sends nothing to the new version.
+const STRATA: usize = 4;
 /// Nodes whose reports are kept for one move; the design size is 330.
 const NODES: usize = 1_024;
+/// Time in which all reachable nodes report to a new lease holder; they report every second.
+const SETTLE_MS: u64 = 2_500;
+/// Age up to which a report is fresh, and up to which its node counts as part of the service.
+const FRESH_MS: u64 = 5_000;
+const KNOWN_MS: u64 = 60_000;
 /// Resolution of the logarithm of a latency.
 const LOG_UNITS: f64 = 64.0;
 
@@ -266,7 +271,7 @@
         self.old_requests += other.old_requests;
         for theirs in &other.strata {
             // Nodes can briefly differ by a step, so that the sum spans one share more.
-            let Some(stratum) = self.stratum_mut(theirs.share_permille, STRATA + 2) else {
+            let Some(stratum) = self.stratum_mut(theirs.share_permille, STRATA + 1) else {
                 continue;
             };
             for route in &theirs.routes {
@@ -319,27 +324,51 @@
 /// Keeps the newest report of each node for one move.
 #[derive(Debug, Default, Clone)]
 pub struct Reports {
-    newest: BTreeMap<Arc<str>, (u64, Evidence)>,
+    newest: BTreeMap<Arc<str>, Newest>,
+    /// Time of the first report.
+    since_ms: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Newest {
+    sequence: u64,
+    received_ms: u64,
+    evidence: Evidence,
 }
 
 impl Reports {
     /// Takes a report unless it is a repeat or older than the known one; tells whether it did.
-    pub fn accept(&mut self, report: Report) -> bool {
+    pub fn accept(&mut self, report: Report, now_ms: u64) -> bool {
         let known = self.newest.get(&report.node);
-        if known.is_some_and(|(sequence, _)| report.sequence <= *sequence) {
+        if known.is_some_and(|known| report.sequence <= known.sequence) {
             return false;
         }
         if known.is_none() && self.newest.len() >= NODES {
             return false;
         }
-        self.newest.insert(report.node, (report.sequence, report.evidence));
+        self.since_ms.get_or_insert(now_ms);
+        let Report { node, sequence, evidence, .. } = report;
+        self.newest.insert(node, Newest { sequence, received_ms: now_ms, evidence });
         true
     }
 
+    /// Tells whether the sum speaks for all nodes, so that a share may be raised.
+    ///
+    /// A new lease holder first has to hear from the nodes. One that hears only from a minority of
+    /// them is cut off, and faults that the others see would not reach it.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        let heard = |within_ms: u64| {
+            let newest = self.newest.values();
+            newest.filter(|newest| newest.received_ms + within_ms >= now_ms).count()
+        };
+        let settled = self.since_ms.is_some_and(|since| now_ms >= since + SETTLE_MS);
+        settled && heard(FRESH_MS) * 2 > heard(KNOWN_MS)
+    }
+
     pub fn sum(&self) -> Evidence {
         let mut sum = Evidence::default();
-        for (_, evidence) in self.newest.values() {
-            sum.merge(evidence);
+        for newest in self.newest.values() {
+            sum.merge(&newest.evidence);
         }
         sum
     }
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -19,6 +19,8 @@
 /// Strength taken off differences in the recent windows: there are many of them during a move, and
 /// each is another chance for a good version to look bad.
 const RECENT_CHANCE: f64 = 2.0;
+/// Strength taken off differences that are summed over the shares of a move.
+const SHARES_CHANCE: f64 = 1.0;
 /// Responses with latency needed before a mean latency is compared; the first requests after a
 /// start are often slow on a good version too.
 const SLOW_RESPONSES: u32 = 40;
@@ -108,6 +110,28 @@
     for stratum in &evidence.strata {
         offer(&mut best, judge_stratum(stratum, targets), 0.0);
     }
+    offer(&mut best, judge_shares(evidence), 0.0);
+    best
+}
+
+/// Gives the clearest sign that the new version was worse at all shares taken together.
+///
+/// A fault that is mild, or on a route with few requests, needs the evidence of the whole move.
+pub fn judge_shares(evidence: &Evidence) -> Option<Signal> {
+    let newest = evidence.strata.last()?;
+    let chance = (newest.routes.len().max(1) as f64).ln() + SHARES_CHANCE;
+    let mut best = None;
+    for route in &newest.routes {
+        let same = |stratum: &Stratum| {
+            stratum.routes.iter().find(|known| known.name == route.name).cloned()
+        };
+        let routes: Vec<Route> = evidence.strata.iter().filter_map(same).collect();
+        let windows: Vec<_> =
+            routes.iter().map(|route| (&route.new.total, &route.old.total)).collect();
+        for symptom in [Symptom::Failing, Symptom::Late] {
+            offer(&mut best, rate_signal(symptom, route, &windows), chance);
+        }
+    }
     best
 }
 
--- a/tests/rollout_verdict.rs
+++ b/tests/rollout_verdict.rs
@@ -142,14 +142,14 @@
     let targets =
         Targets { first_byte: Duration::from_millis(360), token_gap: Duration::from_millis(74) };
     let mut evidence = Evidence::default();
-    for share_permille in [10, 50, 250] {
+    for share_permille in [0, 10, 50, 250, 800] {
         for route in 0..100 {
             let route = format!("/{route}");
             let sample = Sample { route: &route, share_permille, ..sample(false, 50) };
             evidence.record(rollout::Side::New, &sample, &targets);
         }
     }
-    assert_eq!(evidence.strata.len(), 2);
+    assert_eq!(evidence.strata.len(), 4);
     let stratum = evidence.stratum(250).unwrap();
     assert!(stratum.routes.len() <= ROUTES + 1);
     let overflow = stratum.routes.iter().find(|route| &*route.name == OVERFLOW_ROUTE).unwrap();
@@ -170,16 +170,38 @@
     let report =
         |node: &str, sequence| -> Report { observer.reports(&Arc::from(node), sequence).remove(0) };
     let mut controller = Controller::default();
-    assert!(controller.report(report("a", 5)));
-    assert!(!controller.report(report("a", 5)) && !controller.report(report("a", 4)));
-    assert!(controller.report(report("b", 1)));
     let now_ms = open_key(&catalog).accepted_ms + 1_000;
+    assert!(controller.report(report("a", 5), now_ms));
+    assert!(!controller.report(report("a", 5), now_ms));
+    assert!(!controller.report(report("a", 4), now_ms));
+    assert!(controller.report(report("b", 1), now_ms));
     let decision = controller.decide(&catalog, &Marks::default(), now_ms).remove(0);
     let Step::Revert { reason } = &decision.step else { panic!("{decision:?}") };
     assert!(reason.contains("new 30 bad of 30, old 0 bad of 30"), "{reason}");
     assert_eq!(decision.mark.map(|mark| mark.key), Some(open_key(&catalog)));
 }
 
+#[test]
+fn share_is_not_raised_on_the_word_of_a_minority() {
+    let catalog = catalog(10);
+    let mut observer = Observer::default();
+    observer.sync(&catalog);
+    let mut controller = Controller::default();
+    let late_ms = open_key(&catalog).accepted_ms + 540_000;
+    let mut step_after = |nodes: &[&str], now_ms: u64| {
+        for node in nodes {
+            let report = observer.reports(&Arc::from(*node), now_ms).remove(0);
+            controller.report(report, now_ms);
+        }
+        controller.decide(&catalog, &Marks::default(), now_ms).remove(0).step
+    };
+    assert_eq!(step_after(&[], late_ms), Step::Hold, "a new lease holder knows nothing");
+    assert_eq!(step_after(&["a", "b", "c"], late_ms), Step::Hold, "some nodes may follow");
+    assert_eq!(step_after(&["a"], late_ms + 6_000), Step::Hold, "two of three are not heard");
+    let raised = Step::Raise { share_permille: 50 };
+    assert_eq!(step_after(&["a", "b"], late_ms + 7_000), raised);
+}
+
 #[test]
 fn deadline_takes_the_move_back() {
     let catalog = catalog(250);
