--- a/tests/rollout_moves.rs
+++ b/tests/rollout_moves.rs
@@ -33,6 +33,7 @@
             assert!(result.showed, "{case:?}: the fault never showed, so nothing was tested");
             let late = result.late_on_node + result.late_anywhere;
             assert_eq!(late, 0, "{case:?}: requests after the fault was observable: {result:?}");
+            // Held to the bound at a longer deadline below, because it is missed at 300 s.
             if case != Case::BadUnderLoad {
                 assert!(result.share() <= 0.02, "{case:?}: {result:?}");
             }
@@ -40,8 +41,9 @@
     }
 }
 
-/// A fault that shows only above half of the traffic costs most; below 600 s of deadline the worst
-/// case exceeds 2%, see the table of `examples/rollout.rs`.
+/// A fault that shows only above half of the traffic costs most. The 2% is not kept for every such
+/// move: on other seeds the worst of 100 moves had 2.07% at this size, and up to 5.8% with a deadline
+/// of 120 s, see `examples/rollout.rs`. That target is missed, and is checked here on fixed seeds.
 #[test]
 fn versions_bad_under_load_stay_below_two_percent() {
     let setup = |seed| Setup {
