--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -36,6 +36,7 @@
 /// the move closes, because afterwards nothing takes a bad version back.
 const LEAST_REQUESTS: f64 = 20.0;
 const LEAST_LAST_REQUESTS: f64 = 100.0;
+const LEAST_ROUTE_REQUESTS: f64 = 40.0;
 /// Strength from which a share is not raised, with few and with fewest bad responses: a single
 /// failure at low traffic would otherwise hold a good version until its deadline.
 const DOUBT: f64 = 2.5;
@@ -78,8 +79,8 @@
 
 impl Controller {
     /// Takes the report of a node; repeats and older reports change nothing.
-    pub fn report(&mut self, report: Report) -> bool {
-        self.reports.entry(report.key.clone()).or_default().accept(report)
+    pub fn report(&mut self, report: Report, now_ms: u64) -> bool {
+        self.reports.entry(report.key.clone()).or_default().accept(report, now_ms)
     }
 
     /// Decides a step for each open move; `now_ms` counts from the Unix epoch.
@@ -101,12 +102,17 @@
             }
             let Some(service) = catalog.service(&spec.service) else { continue };
             let key = Key::of(id, spec, progress);
-            let evidence = self.reports.get(&key).map(Reports::sum).unwrap_or_default();
+            let reports = self.reports.get(&key);
+            let evidence = reports.map(Reports::sum).unwrap_or_default();
             let view = View::new(spec, progress, &evidence, Targets::of(service), now_ms);
-            let (step, mark) = match marks.reason(&key) {
+            let (mut step, mark) = match marks.reason(&key) {
                 Some(reason) => (Step::Revert { reason: reason.clone() }, None),
                 None => view.step(&key),
             };
+            let current = reports.is_some_and(|reports| reports.is_current(now_ms));
+            if !current && matches!(step, Step::Raise { .. } | Step::Close) {
+                step = Step::Hold;
+            }
             open.push(key.clone());
             decisions.push(Decision { id: id.clone(), key, step, mark });
         }
@@ -171,7 +177,8 @@
         }
         let stratum = self.evidence.stratum(self.share);
         let signal = stratum.and_then(|stratum| verdict::judge_stratum(stratum, &self.targets));
-        if let Some(signal) = signal.filter(is_doubt) {
+        let signals = [signal, verdict::judge_shares(self.evidence)];
+        if let Some(signal) = signals.into_iter().flatten().find(is_doubt) {
             return self.step_in_doubt(&signal);
         }
         let due = self.is_due();
@@ -257,7 +264,7 @@
         let overall = stratum.overall();
         let all = f64::from(requests(&overall).0 + requests(&overall).1).max(1.0);
         let last = next_share(self.share).is_none();
-        let least_on_route = if last { LEAST_REQUESTS } else { 0.0 };
+        let least_on_route = if last { LEAST_ROUTE_REQUESTS } else { 0.0 };
         let route_confirmed = |route: &Route| {
             let (new, old) = requests(route);
             let part = f64::from(new + old) / all;
