Let the limit of a service follow the latency of its endpoints

Cause: admission knew only the declared concurrency, so at three times the capacity requests waited at the engines until their deadlines passed. Change: each node keeps an adaptive limit per endpoint; their sum is the limit of the service's gate.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -22,7 +22,6 @@
 use crate::daemon::Node;
 use crate::endpoint::answer::REQUEST_ID;
 use crate::error::{Error, Kind, Result};
-use crate::membership::Status;
 use crate::resource::{Catalog, Kind as ResourceKind, Protocol, Service, Spec};
 use crate::{admission, claim};
 
@@ -75,19 +74,14 @@
     }
 }
 
-/// Gives the share of a service's endpoints that this node may fill. Balancers spread requests
-/// unevenly, so a node may use twice its even share.
+/// Gives what the endpoints of a service can take from this node, as their latency tells.
 fn in_flight_limit(node: &Node, catalog: &Catalog, name: &str, service: &Service) -> u32 {
-    const UNEVEN: u32 = 2;
     let version = catalog.serving(name).and_then(|name| catalog.version(&name));
     let Some(version) = version else { return service.in_flight };
     let concurrency = catalog.pool(&version.pool).map_or(1, |pool| pool.concurrency);
-    let endpoints = node.vms.borrow().iter().filter(|vm| vm.pool == version.pool).count();
-    let endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
-    let nodes = node.members().iter().filter(|member| member.status == Status::Alive).count();
-    let nodes = u32::try_from(nodes).unwrap_or(1).max(1);
-    let even = concurrency.saturating_mul(endpoints).div_ceil(nodes);
-    even.saturating_mul(UNEVEN).clamp(1, service.in_flight.max(1))
+    let vms = node.vms.borrow().clone();
+    let usable = vms.iter().filter(|vm| vm.pool == version.pool && !vm.leaving);
+    node.limits.sum(usable.map(|vm| &vm.id), concurrency)
 }
 
 pub fn router(node: Arc<Node>) -> Router {
--- a/src/caller/admit.rs
+++ b/src/caller/admit.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::admission::{Action, Actions, Ask, Gate, Settings, Verdict};
+use crate::admission::{Action, Actions, Ask, Gate, Limit, Settings, Verdict};
 use crate::error::{Error, Kind, Result};
 
 /// Requests of a service that may wait on one node.
@@ -20,6 +20,55 @@
     doors: Mutex<HashMap<Arc<str>, Arc<Door>>>,
 }
 
+/// Requests at one endpoint that this node may always have in flight.
+const LIMIT_FLOOR: u32 = 4;
+
+/// Holds the adaptive limit of each endpoint, from which the limit of a service follows.
+#[derive(Debug, Default)]
+pub struct Limits {
+    limits: Mutex<HashMap<Arc<str>, Limit>>,
+}
+
+impl Limits {
+    /// Sums what the endpoints of a pool can take from this node; endpoints that have gone are
+    /// forgotten with `retain`.
+    pub fn sum<'a>(&self, vms: impl Iterator<Item = &'a Arc<str>>, concurrency: u32) -> u32 {
+        let mut limits = self.lock();
+        let each = vms.map(|vm| match limits.get(vm) {
+            Some(limit) => limit.current(),
+            None => {
+                let limit = Limit::new(LIMIT_FLOOR.min(concurrency), concurrency);
+                let current = limit.current();
+                limits.insert(vm.clone(), limit);
+                current
+            }
+        });
+        each.fold(0, u32::saturating_add).max(1)
+    }
+
+    /// Records the time to the first byte of a request.
+    pub fn sample(&self, vm: &str, latency: Duration, in_flight: u32) {
+        if let Some(limit) = self.lock().get_mut(vm) {
+            limit.sample(latency, in_flight);
+        }
+    }
+
+    /// Records a timeout, a refusal or a broken answer of an endpoint.
+    pub fn overloaded(&self, vm: &str) {
+        if let Some(limit) = self.lock().get_mut(vm) {
+            limit.overloaded();
+        }
+    }
+
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.lock().retain(|vm, _| keep(vm));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Limit>> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Holds the gate of one service and the requests that wait at it.
 #[derive(Debug)]
 pub struct Door {
--- a/src/caller/target.rs
+++ b/src/caller/target.rs
@@ -53,6 +53,8 @@
     pool: Arc<str>,
     share_permille: u32,
     started: Instant,
+    /// Requests of this node at the endpoint when the attempt began.
+    in_flight: u32,
     settled: bool,
 }
 
@@ -89,9 +91,10 @@
     let candidate = node.with_table(&pool, |table| {
         let candidate = table.choose(now, key, &wish.exclude)?;
         table.started(now, &candidate.id);
-        Some(candidate)
+        let in_flight = table.in_flight(&candidate.id);
+        Some((candidate, in_flight))
     });
-    let candidate = candidate.ok_or_else(missing)?;
+    let (candidate, in_flight) = candidate.ok_or_else(missing)?;
     Ok(Flight {
         node: node.clone(),
         vm: candidate.id,
@@ -103,6 +106,7 @@
         share_permille: choice.share_permille,
         started: Instant::now(),
         settled: false,
+        in_flight,
         pool,
     })
 }
@@ -125,6 +129,7 @@
         self.settled = true;
         self.node.with_table(&self.pool, |table| table.finished(&self.vm));
         self.observe(failed, first_byte, token_gap);
+        self.node.limits.sample(&self.vm, first_byte, self.in_flight);
         if !failed {
             self.node.credit_retry(&self.service);
         }
@@ -140,6 +145,7 @@
             Trouble::Connection => table.failed(now, &self.vm),
             Trouble::Answer => table.finished(&self.vm),
         });
+        self.node.limits.overloaded(&self.vm);
         if !expected {
             self.observe(true, self.started.elapsed(), None);
         }
--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -46,6 +46,7 @@
         leave(node, &vm.id, "listed as leaving");
     }
     node.directory.retain(|address| vms.iter().any(|vm| vm.address == address));
+    node.limits.retain(|id| vms.iter().any(|vm| *vm.id == *id));
     let mut pools: HashMap<Arc<str>, Vec<routing::Endpoint>> = HashMap::new();
     for vm in vms.iter().filter(|vm| !vm.pool.is_empty() && !vm.leaving) {
         pools.entry(vm.pool.clone()).or_default().push(endpoint(vm));
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -163,6 +163,11 @@
         self.index.get(id).map(|&row| self.rows[row].load(now))
     }
 
+    /// Counts the requests of this node in flight at an endpoint.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.index.get(id).map_or(0, |&row| self.rows[row].in_flight)
+    }
+
     /// Chooses an endpoint, or none if all are excluded or left out after failures.
     ///
     /// The load of the chosen endpoint, with this request, is at most 1.25 times the mean, rounded
