--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod caller;
+pub mod capacity;
 pub mod claim;
 pub mod config;
 pub mod daemon;
