Carry out the capacity duty in the daemon

The plan had no one to carry it out. With "capacity": {"enabled": true} every node reports its demand to the table, and the holder of lease capacity/all records the ledger, then starts and stops VMs, asking the lease right before each order. A start with an unknown outcome is repeated with its operation id. No VM is given up while the demand of a member is missing.

tests/capacity_duty.rs passes against the platform stand-in with two lost start answers, a refusing failure domain, a VM list 4 s old and a change of holder: 4 VMs wanted, 4 running, none stopped.

--- a/src/capacity/offer.rs
+++ b/src/capacity/offer.rs
@@ -57,6 +57,7 @@
                 drain_settle: seconds(reader, "drain_settle_s", 30),
                 drain_limit: seconds(reader, "drain_limit_s", 900),
                 start_limit: seconds(reader, "start_limit_s", 1_200),
+                may_drain: true,
             },
             quantile: reader.number("quantile", 0.5..=1.0, Some(0.98)),
             lead: seconds(reader, "lead_s", 900),
--- a/src/capacity/planner.rs
+++ b/src/capacity/planner.rs
@@ -40,6 +40,8 @@
     pub drain_limit: Duration,
     /// Time after which a start that the VM list doesn't show is given up.
     pub start_limit: Duration,
+    /// Unset while the demand of some nodes is not known: then no VM may be given up.
+    pub may_drain: bool,
 }
 
 /// Tells the shell what to do.
@@ -199,7 +201,7 @@
         let surplus = difference(&census.coming, &target);
         // A new holder doesn't know the needs of the last while, so it gives up nothing yet.
         let known = now >= *self.first.get_or_insert(now) + SHRINK_AFTER;
-        if surplus.is_empty() || !known {
+        if surplus.is_empty() || !known || !self.settings.may_drain {
             return;
         }
         self.drain(now, vms, needed, census, surplus);
--- a/src/config.rs
+++ b/src/config.rs
@@ -26,6 +26,7 @@
     pub operator_tokens: Vec<Token>,
     pub limits: Limits,
     pub timing: Timing,
+    pub capacity: Capacity,
 }
 
 /// Grants an operator one of two roles by the SHA-256 digest of a token.
@@ -42,6 +43,12 @@
     Write,
 }
 
+/// Sets whether this node takes part in the capacity duty, see `docs/cost.md`.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Capacity {
+    pub enabled: bool,
+}
+
 /// Bounds what callers can make the daemon hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
@@ -109,6 +116,7 @@
                 operator_tokens: reader.objects("operator_tokens", read_token),
                 limits: reader.object("limits", read_limits).unwrap_or_default(),
                 timing: reader.object("timing", read_timing).unwrap_or_default(),
+                capacity: reader.object("capacity", read_capacity).unwrap_or_default(),
             }
         })
     }
@@ -161,6 +169,10 @@
     }
 }
 
+fn read_capacity(reader: &mut Reader<'_>) -> Capacity {
+    Capacity { enabled: reader.flag("enabled", Capacity::default().enabled) }
+}
+
 fn read_timing(reader: &mut Reader<'_>) -> Timing {
     let default = Timing::default();
     Timing {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: starts the parts of an entry VM, runs their loops and stops them in order.
 
+pub mod capacity;
 mod drain;
 mod moves;
 pub mod node;
@@ -42,6 +43,8 @@
     let (close, closed) = watch::channel(false);
     let flush = tokio::spawn(flush_events(node.clone(), closed.clone()));
     let moves = tokio::spawn(moves::run(node.clone()));
+    let capacity = node.settings.capacity.enabled;
+    let capacity = capacity.then(|| tokio::spawn(capacity::run(node.clone())));
     tokio::spawn(vms::follow(node.clone()));
     tokio::spawn(peers::measure(node.clone()));
     let bounds = serve::Bounds {
@@ -65,7 +68,8 @@
         log::warn!("daemon: a second signal ends the process at once");
         return Ok(());
     }
-    let last = futures_util::future::join(flush, moves);
+    let capacity = futures_util::future::OptionFuture::from(capacity);
+    let last = futures_util::future::join3(flush, moves, capacity);
     let _ = tokio::time::timeout(CLOSING_TIME, last).await;
     log::info!("daemon: stopped");
     Ok(())
--- /dev/null
+++ b/tests/capacity_duty.rs
@@ -0,0 +1,140 @@
+//! Guards the capacity duty against doubled starts after a lost answer, orders without the lease,
+//! and stops of VMs that were not drained first. The platform is the stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::{IntoResponse, Response};
+use http::StatusCode;
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use pomelolink::config::Settings;
+use pomelolink::daemon::{Node, capacity};
+use pomelolink::platform;
+use pomelolink::resource::{self, Catalog, Resource, Status};
+use serde_json::{Value, json};
+use standin::client;
+use tokio::net::TcpListener;
+
+/// Forwards to the stand-in and loses the answers of the next starts.
+struct Forwarder {
+    behind: SocketAddr,
+    http: Client<HttpConnector, Body>,
+    lost: AtomicU32,
+}
+
+async fn forward(State(forwarder): State<Arc<Forwarder>>, mut request: Request) -> Response {
+    let path = request.uri().path_and_query().unwrap().clone();
+    *request.uri_mut() = format!("http://{}{path}", forwarder.behind).parse().unwrap();
+    let response = forwarder.http.request(request).await.unwrap();
+    let take = |left: u32| left.checked_sub(1);
+    if path == "/cloud/start"
+        && forwarder.lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+    {
+        return StatusCode::GATEWAY_TIMEOUT.into_response();
+    }
+    response.map(Body::new)
+}
+
+async fn start_platform(lost: u32) -> (SocketAddr, SocketAddr) {
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let (listener, behind) = (bind().await.unwrap(), bind().await.unwrap());
+    let (address, direct) = (listener.local_addr().unwrap(), behind.local_addr().unwrap());
+    tokio::spawn(standin::platform::run(behind, standin::platform::Options::default()));
+    let http = Client::builder(TokioExecutor::new()).build_http();
+    let forwarder = Forwarder { behind: direct, http, lost: AtomicU32::new(lost) };
+    let router = axum::Router::new().fallback(forward).with_state(Arc::new(forwarder));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    (address, direct)
+}
+
+async fn call(address: SocketAddr, method: &str, path: &str, body: Value) -> Value {
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let headers = [("content-type", "application/json")];
+    client::call(address, method, path, &headers, body).await.unwrap().json()
+}
+
+fn offers(floor: u32) -> Value {
+    let offer = |domain: &str, price: f64| json!({ "failure_domain": domain, "class": "small", "reclaimable": true, "price": price });
+    json!({
+        "starts_per_hour": 3600, "starts_at_once": 20, "warm_s": 0,
+        "floors": [{ "service": "chat", "vms": floor }],
+        "pools": [{ "pool": "engines", "unit": "tokens", "per_vm": 400.0,
+            "offers": [offer("dk-a", 1.0), offer("dk-b", 1.1), offer("dk-c", 1.2)] }],
+    })
+}
+
+fn node(name: &str, platform: SocketAddr) -> Arc<Node> {
+    let settings = json!({
+        "node": name, "region": "dk", "failure_domain": "dk-a", "platform": platform.to_string(),
+        "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+        "peer_keys": ["0123456789abcdef"], "timing": { "lease_term_ms": 3000 },
+        "capacity": { "enabled": true },
+    });
+    let settings = Settings::parse("settings.json", &settings.to_string()).unwrap();
+    assert!(settings.capacity.enabled);
+    let node = Arc::new(Node::new(settings));
+    let declared = json!([
+        { "kind": "pool", "name": "engines", "class": "small" },
+        { "kind": "service", "name": "chat", "protocol": "model", "version": "chat-1" },
+        { "kind": "version", "name": "chat-1", "service": "chat", "pool": "engines" },
+    ]);
+    let declared = resource::parse("chat.json", &declared.to_string()).unwrap();
+    let resources = declared.into_iter().map(|declared| {
+        (declared.id, Resource { spec: declared.spec, generation: 1, status: Status::default() })
+    });
+    assert!(node.revision.apply(Catalog { revision: 1, resources: resources.collect() }));
+    node
+}
+
+async fn counters(direct: SocketAddr) -> Value {
+    call(direct, "GET", "/control/counters", Value::Null).await
+}
+
+/// Waits until the number of listed VMs has been right for several rounds.
+async fn wait_for(client: &platform::Client, count: usize) -> Vec<platform::Vm> {
+    let mut right = 0;
+    for _ in 0..300 {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let vms = client.vms().await.unwrap();
+        right = if vms.len() == count { right + 1 } else { 0 };
+        if right == 25 {
+            return vms;
+        }
+    }
+    panic!("there are {} VMs instead of {count}", client.vms().await.unwrap().len());
+}
+
+#[tokio::test]
+async fn lost_answers_and_refusals_lead_to_the_right_number_of_vms() {
+    let (address, direct) = start_platform(2).await;
+    let faults = json!({ "list_lag_ms": 4000, "refuse_domains": ["dk-b"] });
+    call(direct, "POST", "/control/faults", faults).await;
+    call(direct, "PUT", "/objects/capacity/offers", offers(2)).await;
+    // Two nodes compete for the lease; only its holder may order.
+    let nodes = [node("entry-1", address), node("entry-2", address)];
+    let running: Vec<_> =
+        nodes.iter().map(|node| tokio::spawn(capacity::run(node.clone()))).collect();
+    // Of two VMs in each of two failure domains, two are left after the loss of one.
+    let vms = wait_for(&nodes[0].client, 4).await;
+    assert!(vms.iter().all(|vm| &*vm.failure_domain != "dk-b"), "{vms:?}");
+    let before = counters(direct).await;
+    assert!(before["refused_starts"].as_u64().unwrap() >= 1, "{before}");
+    // A reclaim is replaced, by the holder that takes the lease over if the first has stopped.
+    nodes[0].stopping.send_replace(true);
+    let reclaim = json!({ "vm": vms[0].id, "left_ms": 500 });
+    call(direct, "POST", "/control/reclaim", reclaim).await;
+    let vms = wait_for(&nodes[1].client, 4).await;
+    let domains = vms.iter().filter(|vm| &*vm.failure_domain == "dk-a").count();
+    assert_eq!(domains, 2, "{vms:?}");
+    let after = counters(direct).await;
+    assert_eq!(after["stops"], 0, "VMs were stopped: {after}");
+    nodes[1].stopping.send_replace(true);
+    for task in running {
+        task.await.unwrap();
+    }
+}
--- a/tests/capacity_plan.rs
+++ b/tests/capacity_plan.rs
@@ -34,6 +34,7 @@
         drain_settle: STEP * 2,
         drain_limit: STEP * 10,
         start_limit: STEP * 20,
+        may_drain: true,
     }
 }
 
--- a/tests/demand_forecast.rs
+++ b/tests/demand_forecast.rs
@@ -39,7 +39,7 @@
     while now < DAY * 160 {
         observe(&mut series, &mut random, now, now + MINUTE);
         now += MINUTE;
-        if now > DAY * 107 && now.as_secs() % 840 == 0 {
+        if now > DAY * 107 && now.as_secs().is_multiple_of(840) {
             let upper = series.upper(now, QUANTILE);
             let later = noisy(&mut random, now + LEAD);
             checked += 1;
