--- /dev/null
+++ b/benches/cost/policy.rs
@@ -0,0 +1,202 @@
+//! Policies that the measurement compares.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelolink::capacity::planner::{Answer, Ledger, Settings};
+use pomelolink::capacity::{Action, Machine, Need, Place, Planner, Series, vms_for};
+
+use super::world::{DOMAINS, MINUTE, Minute, Trace, place};
+
+const LEAD: Duration = Duration::from_secs(900);
+const QUANTILE: f64 = 0.98;
+/// Reserve and patience of the reactive policy, as is usual for threshold scaling.
+const REACTIVE_RESERVE: f64 = 1.25;
+const REACTIVE_PATIENCE: Duration = Duration::from_secs(600);
+const REACTIVE_RETRY: Duration = Duration::from_secs(300);
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Policy {
+    /// A constant number of on-demand VMs that serves the demand of a part of the minutes.
+    Fixed {
+        quantile: f64,
+    },
+    /// Follows the demand of the last minutes with the cheapest VMs.
+    Reactive,
+    Plan,
+}
+
+#[derive(Debug)]
+pub enum Request {
+    Start(Arc<str>, Place),
+    Drain(Arc<str>),
+    Stop(Arc<str>),
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    policy: Policy,
+    per_vm: f64,
+    fixed: usize,
+    planner: Planner,
+    series: Series,
+    seen: Option<Duration>,
+    recent: f64,
+    enough_since: Option<Duration>,
+    retry: Vec<(Place, Duration)>,
+    pending: Vec<(Arc<str>, Place, Option<Arc<str>>)>,
+    serial: u64,
+}
+
+impl Fleet {
+    pub fn new(policy: Policy, trace: &Trace, per_vm: f64, scale: f64) -> Fleet {
+        let quantile = if let Policy::Fixed { quantile } = policy { quantile } else { 1.0 };
+        let settings = Settings {
+            starts_per_hour: 60.0 * scale,
+            starts_at_once: (10.0 * scale) as u32,
+            drain_settle: Duration::from_secs(30),
+            drain_limit: Duration::from_secs(900),
+            start_limit: Duration::from_secs(1_200),
+            may_drain: true,
+        };
+        Fleet {
+            policy,
+            per_vm,
+            fixed: vms_for(trace.quantile(quantile), per_vm) as usize,
+            planner: Planner::new(settings, "plan".into(), Ledger::default()),
+            series: Series::new(LEAD),
+            seen: None,
+            recent: 0.0,
+            enough_since: None,
+            retry: Vec::new(),
+            pending: Vec::new(),
+            serial: 0,
+        }
+    }
+
+    pub fn decide(
+        &mut self,
+        now: Duration,
+        trace: &Trace,
+        minute: &Minute,
+        vms: &[Machine],
+    ) -> Vec<Request> {
+        if self.seen.is_none_or(|seen| now >= seen + MINUTE) {
+            self.seen = Some(now);
+            self.series.observe(now + MINUTE, MINUTE, minute.counted);
+            self.recent = self.recent * 0.8 + minute.counted * 0.2;
+        }
+        match self.policy {
+            Policy::Fixed { .. } => self.keep(vms),
+            Policy::Reactive => self.react(now, trace, minute, vms),
+            Policy::Plan => self.plan(now, trace, minute, vms),
+        }
+    }
+
+    pub fn answered(&mut self, now: Duration, operation: &str, vm: Option<Arc<str>>) {
+        if self.policy == Policy::Plan {
+            let answer = vm.map_or(Answer::Refused, Answer::Started);
+            self.planner.answered(now, operation, answer);
+            return;
+        }
+        let Some(index) = self.pending.iter().position(|(known, ..)| **known == *operation) else {
+            return;
+        };
+        match vm {
+            Some(vm) => self.pending[index].2 = Some(vm),
+            None => {
+                let (_, place, _) = self.pending.remove(index);
+                self.retry.push((place, now + REACTIVE_RETRY));
+            }
+        }
+    }
+
+    fn plan(
+        &mut self,
+        now: Duration,
+        trace: &Trace,
+        minute: &Minute,
+        vms: &[Machine],
+    ) -> Vec<Request> {
+        let need = Need {
+            pool: "pool".into(),
+            vms: vms_for(self.series.upper(now + MINUTE, QUANTILE), self.per_vm).max(1),
+            keep: 1,
+            offers: trace.offers(minute),
+        };
+        let actions = self.planner.decide(now, vms, &[need]);
+        let requests = actions.into_iter().map(|action| match action {
+            Action::Start(launch) => Request::Start(launch.operation, launch.place),
+            Action::Drain(vm) => Request::Drain(vm),
+            Action::Stop(vm) => Request::Stop(vm),
+        });
+        requests.collect()
+    }
+
+    /// Keeps a fixed number of on-demand VMs, spread over the failure domains.
+    fn keep(&mut self, vms: &[Machine]) -> Vec<Request> {
+        self.settle(vms);
+        while vms.len() + self.pending.len() < self.fixed {
+            let open = (0..DOMAINS.len()).map(|domain| place(domain, false));
+            let open = open.filter(|place| !self.retry.iter().any(|(paused, _)| paused == place));
+            let Some(place) = open.min_by_key(|place| {
+                let listed = vms.iter().filter(|vm| vm.place == *place).count();
+                listed + self.pending.iter().filter(|(_, other, _)| other == place).count()
+            }) else {
+                self.retry.clear();
+                break;
+            };
+            self.begin(place);
+        }
+        self.starts()
+    }
+
+    fn react(
+        &mut self,
+        now: Duration,
+        trace: &Trace,
+        minute: &Minute,
+        vms: &[Machine],
+    ) -> Vec<Request> {
+        self.settle(vms);
+        self.retry.retain(|(_, until)| now < *until);
+        let wanted = vms_for(self.recent * REACTIVE_RESERVE, self.per_vm).max(1) as usize;
+        let mut offers = trace.offers(minute);
+        offers.sort_by(|left, right| left.price.total_cmp(&right.price));
+        while vms.len() + self.pending.len() < wanted {
+            let open = offers
+                .iter()
+                .find(|offer| !self.retry.iter().any(|(paused, _)| *paused == offer.place));
+            let Some(open) = open else { break };
+            self.begin(open.place.clone());
+        }
+        let mut requests = self.starts();
+        if vms.len() <= wanted {
+            self.enough_since = None;
+        } else if now >= *self.enough_since.get_or_insert(now) + REACTIVE_PATIENCE {
+            let price = |vm: &&Machine| {
+                offers.iter().position(|offer| offer.place == vm.place).unwrap_or(usize::MAX)
+            };
+            let mut dearest: Vec<&Machine> = vms.iter().collect();
+            dearest.sort_by_key(|vm| std::cmp::Reverse(price(vm)));
+            let surplus = dearest.into_iter().take(vms.len() - wanted);
+            requests.extend(surplus.map(|vm| Request::Stop(vm.id.clone())));
+        }
+        requests
+    }
+
+    fn settle(&mut self, vms: &[Machine]) {
+        let listed = |id: &Arc<str>| vms.iter().any(|vm| vm.id == *id);
+        self.pending.retain(|(_, _, vm)| !vm.as_ref().is_some_and(listed));
+    }
+
+    fn begin(&mut self, place: Place) {
+        self.serial += 1;
+        self.pending.push((format!("start-{}", self.serial).into(), place, None));
+    }
+
+    fn starts(&self) -> Vec<Request> {
+        let open = self.pending.iter().filter(|(_, _, vm)| vm.is_none());
+        open.map(|(operation, place, _)| Request::Start(operation.clone(), place.clone())).collect()
+    }
+}
