Stop drained VMs only when every member knows the drain

A holder without any report took a drained VM for idle as soon as its load was zero, although nodes it had not heard of could still send work. Now the report of every member must name the drain; otherwise the VM waits for the drain limit. Reports are written at once when the drains change, and the holder records the cost per hour and per 1,000 requests on the time line every 10 minutes.

--- a/src/capacity/offer.rs
+++ b/src/capacity/offer.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::planner::Settings;
-use super::{Need, Offer, Place, vms_for};
+use super::{Machine, Need, Offer, Place, vms_for};
 use crate::document::{self, Mistake, Reader};
 use crate::resource::{Catalog, Id, Kind, Spec};
 
@@ -67,6 +67,17 @@
         })
     }
 
+    /// Sums the prices of the VMs; those that no offer covers count as free.
+    pub fn cost_per_hour(&self, vms: &[Machine]) -> f64 {
+        let offers: BTreeMap<&Place, f64> = self
+            .pools
+            .iter()
+            .flat_map(|pool| &pool.offers)
+            .map(|offer| (&offer.place, offer.price))
+            .collect();
+        vms.iter().filter_map(|vm| offers.get(&vm.place)).sum()
+    }
+
     /// Gives the needs of the pools that the catalog and the sheet know.
     ///
     /// `upper` gives the demand of a service per second to plan for. While a move is open, the
--- a/src/daemon/capacity.rs
+++ b/src/daemon/capacity.rs
@@ -45,6 +45,7 @@
     let mut meter = demand::Meter::default();
     let mut duty: Option<duty::State> = None;
     let mut drained = BTreeSet::new();
+    let mut report = demand::Report::default();
     let (mut report_at, mut follow_at) = (Duration::ZERO, Duration::ZERO);
     let mut stopping = node.stopping.subscribe();
     loop {
@@ -70,11 +71,15 @@
                 }
             }
         }
-        if now >= report_at {
+        let due = now >= report_at;
+        if due {
             report_at = now + demand::PERIOD;
-            let services = meter.read(&node, &node.revision.current());
-            let at_ms = claim::keeper::unix_ms();
-            let report = demand::Report { at_ms, services, drained: drained.clone() };
+            report.services = meter.read(&node, &node.revision.current());
+        }
+        // The holder waits for all nodes to have seen a drain.
+        if due || report.drained != drained {
+            report.drained.clone_from(&drained);
+            report.at_ms = claim::keeper::unix_ms();
             demand::write(&node, &report).await;
         }
     }
--- a/src/daemon/capacity/demand.rs
+++ b/src/daemon/capacity/demand.rs
@@ -32,7 +32,7 @@
 }
 
 /// Holds what a node reports.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Milliseconds since the Unix epoch.
     pub at_ms: u64,
--- a/src/daemon/capacity/duty.rs
+++ b/src/daemon/capacity/duty.rs
@@ -6,7 +6,7 @@
 
 use super::demand::{self, Report};
 use super::fleet::Fleet;
-use super::{LEDGER, Node, read_ledger};
+use super::{FOLLOW_PERIOD, LEDGER, Node, read_ledger};
 use crate::capacity::offer::{self, Sheet, Unit};
 use crate::capacity::planner::{Answer, Launch, Ledger};
 use crate::capacity::{Action, Machine, Planner, Series};
@@ -22,6 +22,8 @@
 /// Periods in which the offers are read and the forecasts are written.
 const OFFERS_PERIOD: Duration = Duration::from_secs(60);
 const FORECAST_PERIOD: Duration = Duration::from_secs(600);
+/// Period of the cost report.
+const COST_PERIOD: Duration = Duration::from_secs(600);
 
 /// Holds the forecasts of a service in both units.
 type Forecasts = BTreeMap<Arc<str>, [Series; 2]>;
@@ -40,6 +42,7 @@
     observed: Option<Duration>,
     offers_at: Duration,
     forecast_at: Duration,
+    cost_at: Duration,
 }
 
 impl State {
@@ -55,6 +58,7 @@
             observed: None,
             offers_at: Duration::ZERO,
             forecast_at: Duration::ZERO,
+            cost_at: Duration::ZERO,
         }
     }
 
@@ -89,17 +93,22 @@
         let (Some(planner), Some((ledger, version))) = (&mut self.planner, &self.recorded) else {
             return Ok(());
         };
-        let warm = sheet.warm;
-        let vms = self.fleet.inspect(node, &listed, planner.ledger(), &self.reports, warm).await;
+        let complete = all_report(node, &self.reports);
+        let reports = complete.then_some(self.reports.as_slice());
+        let vms = self.fleet.inspect(node, &listed, planner.ledger(), reports, sheet.warm).await;
         let forecasts = self.forecasts.as_ref();
         let needs = sheet.needs(&catalog, |service, unit| {
             let series = forecasts.and_then(|forecasts| forecasts.get(service));
             series.map_or(0.0, |series| series[index(unit)].upper(now, sheet.quantile))
         });
         let mut settings = bounds(&sheet, &catalog);
-        settings.may_drain = all_report(node, &self.reports);
+        settings.may_drain = complete;
         planner.configure(settings);
         let actions = planner.decide(now, &vms, &needs);
+        if now >= self.cost_at {
+            self.cost_at = now + COST_PERIOD;
+            report_cost(node, &sheet, &vms, &self.reports);
+        }
         if planner.ledger() != ledger {
             // The lease may have run out while the VMs were inspected.
             if keeper.holder(node.settings.timing.platform_timeout).is_none() {
@@ -180,7 +189,9 @@
         catalog: &Catalog,
     ) -> Result<(), Failure> {
         let Some(forecasts) = &mut self.forecasts else { return Ok(()) };
-        if self.observed.is_some_and(|last| now < last + demand::PERIOD) {
+        let drains = self.recorded.as_ref().is_some_and(|(ledger, _)| !ledger.drains.is_empty());
+        let period = if drains { FOLLOW_PERIOD } else { demand::PERIOD };
+        if self.observed.is_some_and(|last| now < last + period) {
             return Ok(());
         }
         let query = Query { keys: Vec::new(), prefixes: vec![demand::PREFIX.to_owned()] };
@@ -265,6 +276,18 @@
     }
 }
 
+/// Puts the present cost on the time line.
+fn report_cost(node: &Node, sheet: &Sheet, vms: &[Machine], reports: &[Report]) {
+    let cost = sheet.cost_per_hour(vms);
+    let requests: f64 = demand::sum(reports).values().map(|demand| demand.requests).sum();
+    let count = vms.len();
+    let mut text = format!("{count} endpoint VMs cost {cost:.4} per hour");
+    if requests > 0.0 {
+        text.push_str(&format!(", {:.6} per 1,000 requests", cost / requests / 3.6));
+    }
+    node.record("capacity", Subject::default(), text);
+}
+
 async fn stop(node: &Node, vm: &Arc<str>) {
     match node.client.stop(vm).await {
         Ok(()) => node.record("capacity", Subject::default(), format!("VM {vm} stopped")),
--- a/src/daemon/capacity/fleet.rs
+++ b/src/daemon/capacity/fleet.rs
@@ -29,12 +29,14 @@
 
 impl Fleet {
     /// Describes the endpoint VMs of the list.
+    ///
+    /// `reports` is `None` while a member's report is missing: it may still send work anywhere.
     pub async fn inspect(
         &mut self,
         node: &Node,
         vms: &[Vm],
         ledger: &Ledger,
-        reports: &[Report],
+        reports: Option<&[Report]>,
         warm: Duration,
     ) -> Vec<Machine> {
         let vms: Vec<&Vm> = vms.iter().filter(|vm| !vm.pool.is_empty()).collect();
@@ -45,7 +47,10 @@
             silent.take(ASKED).map(|vm| async { answers(vm.address).await.then(|| vm.id.clone()) });
         let answering = futures_util::future::join_all(asked).await;
         self.answered.extend(answering.into_iter().flatten().map(|id| (id, now)));
-        let idle = self.idle(&vms, ledger, reports).await;
+        let idle = match reports {
+            Some(reports) => self.idle(&vms, ledger, reports).await,
+            None => BTreeSet::new(),
+        };
         let machines = vms.into_iter().map(|vm| Machine {
             id: vm.id.clone(),
             place: Place {
--- a/tests/capacity_duty.rs
+++ b/tests/capacity_duty.rs
@@ -16,6 +16,7 @@
 use pomelolink::daemon::{Node, capacity};
 use pomelolink::platform;
 use pomelolink::resource::{self, Catalog, Resource, Status};
+use pomelolink::routing::Endpoint;
 use serde_json::{Value, json};
 use standin::client;
 use tokio::net::TcpListener;
@@ -138,3 +139,68 @@
         task.await.unwrap();
     }
 }
+
+/// A drained VM that is stopped while requests run on it, or before every node knows the drain.
+#[tokio::test]
+async fn drained_vm_is_stopped_when_idle_and_known_to_all() {
+    let (address, direct) = start_platform(0).await;
+    let running = Arc::new(AtomicU32::new(1));
+    let load = running.clone();
+    let get = axum::routing::get(move || {
+        let running = load.load(Ordering::SeqCst);
+        async move { axum::Json(json!({ "running": running, "queued": 0 })) }
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let engine = listener.local_addr().unwrap();
+    let router = axum::Router::new().route("/load", get);
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let vm = json!({ "id": "vm-1", "address": engine.to_string(), "region": "dk",
+        "failure_domain": "dk-a", "pool": "engines", "class": "small", "reclaimable": true,
+        "leaving": false });
+    call(direct, "PUT", "/control/vms", json!([vm])).await;
+    let mut sheet = offers(0);
+    sheet["drain_settle_s"] = 1.into();
+    call(direct, "PUT", "/objects/capacity/offers", sheet).await;
+    // A former holder has begun the drain; a node that reports without it still sends work.
+    let now_ms = pomelolink::claim::keeper::unix_ms();
+    let ledger = json!({ "serial": 1, "starts": [],
+        "drains": [{ "vm": "vm-1", "since_ms": now_ms }] });
+    let unaware = json!({ "at_ms": now_ms, "services": {}, "drained": [] });
+    let write = |key: &str, value: &Value| {
+        let writes = json!([{ "key": key, "value": value }]);
+        call(direct, "POST", "/table/transact", json!({ "conditions": [], "writes": writes }))
+    };
+    write("capacity/ledger", &ledger).await;
+    write("capacity/demand/entry-2", &unaware).await;
+    let node = node("entry-1", address);
+    let pool: Arc<str> = "engines".into();
+    let endpoint = Endpoint {
+        id: "vm-1".into(),
+        address: engine,
+        failure_domain: "dk-a".into(),
+        region: "dk".into(),
+        pool: pool.clone(),
+        version: None,
+        cost: 1,
+    };
+    node.with_table(&pool, |table| table.update(Duration::ZERO, vec![endpoint]));
+    let task = tokio::spawn(capacity::run(node.clone()));
+    let stops = async |seconds| {
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+        counters(direct).await["stops"].as_u64().unwrap()
+    };
+    assert_eq!(stops(12).await, 0, "the VM was stopped with a request in flight");
+    assert!(node.with_table(&pool, |table| table.is_empty()), "the VM still gets new work");
+    running.store(0, Ordering::SeqCst);
+    assert_eq!(stops(12).await, 0, "the VM was stopped while a node still sent work to it");
+    let aware = json!({ "at_ms": now_ms, "services": {}, "drained": ["vm-1"] });
+    write("capacity/demand/entry-2", &aware).await;
+    for _ in 0..20 {
+        if stops(2).await > 0 {
+            break;
+        }
+    }
+    assert_eq!(node.client.vms().await.unwrap(), []);
+    node.stopping.send_replace(true);
+    task.await.unwrap();
+}
