Start only what is missing when a pool grows

A pool that had to grow by one VM also started all replacements that a price change made cheaper, past the 15 minutes for which the price must last, and put them into the failure domain whose loss is largest. The planner now starts the VMs that leave most survivors, the cheapest among them, and ends when enough survive.

--- a/src/capacity/planner.rs
+++ b/src/capacity/planner.rs
@@ -196,7 +196,8 @@
         let missing = difference(&target, &census.coming);
         let replace = self.may_replace(now, &need.pool, enough && !missing.is_empty());
         if !enough || replace {
-            self.launch(now, &offers, missing);
+            let wanted = if replace { None } else { Some(needed) };
+            self.launch(now, &offers, missing, census.coming.clone(), wanted);
         }
         let surplus = difference(&census.coming, &target);
         // A new holder doesn't know the needs of the last while, so it gives up nothing yet.
@@ -257,22 +258,42 @@
         open.collect()
     }
 
-    /// Begins starts, the cheapest first, as far as the weight store can feed them.
-    fn launch(&mut self, now: Duration, offers: &[Offer], missing: Counts) {
+    /// Begins starts, those that leave most survivors and then the cheapest first, as far as the weight store can feed them.
+    ///
+    /// With `wanted` it ends when so many VMs survive: the rest of the mix only is cheaper, and has
+    /// to stay so for a while before it replaces VMs.
+    fn launch(
+        &mut self,
+        now: Duration,
+        offers: &[Offer],
+        mut missing: Counts,
+        mut coming: Counts,
+        wanted: Option<u32>,
+    ) {
         let price = |place: &Place| {
             let offer = offers.iter().find(|offer| offer.place == *place);
             offer.map_or(f64::MAX, |offer| offer.price)
         };
-        let mut missing: Vec<(Place, u32)> = missing.into_iter().collect();
-        missing.sort_by(|(left, _), (right, _)| price(left).total_cmp(&price(right)));
-        for (place, count) in missing {
-            for _ in 0..count {
-                if self.permits < 1.0 {
-                    return;
-                }
-                self.permits -= 1.0;
-                self.ledger.begin(now, &self.prefix, place.clone());
+        let survivors_with = |coming: &Counts, place: &Place| {
+            let mut counts = coming.clone();
+            *counts.entry(place.clone()).or_default() += 1;
+            mix::survivors(&counts)
+        };
+        while self.permits >= 1.0 {
+            if wanted.is_some_and(|wanted| mix::survivors(&coming) >= wanted) {
+                return;
             }
+            // A start in the largest failure domain only adds to what its loss takes.
+            let open = missing.iter().filter(|(_, count)| **count > 0);
+            let best = open.map(|(place, _)| place).max_by(|left, right| {
+                let survivors = survivors_with(&coming, left).cmp(&survivors_with(&coming, right));
+                survivors.then(price(right).total_cmp(&price(left)))
+            });
+            let Some(place) = best.cloned() else { return };
+            missing.entry(place.clone()).and_modify(|count| *count -= 1);
+            *coming.entry(place.clone()).or_default() += 1;
+            self.permits -= 1.0;
+            self.ledger.begin(now, &self.prefix, place);
         }
     }
 
--- a/tests/capacity_plan.rs
+++ b/tests/capacity_plan.rs
@@ -289,3 +289,15 @@
         assert!(world.starts <= 3 + round, "{} in round {round}", world.starts);
     }
 }
+
+/// A small growth that replaces VMs by cheaper ones at once, although prices changed only now.
+#[test]
+fn growth_starts_only_what_is_missing() {
+    let mut world = World::new();
+    world.rounds(60, &need(12));
+    let before = world.vms.len();
+    let need = Need { offers: offers([2.8, 1.0, 1.0, 1.0]), ..need(13) };
+    world.rounds(10, &need);
+    assert!(mix::survivors(&world.counts()) >= 13);
+    assert!(world.vms.len() <= before + 3, "{} VMs after {before}", world.vms.len());
+}
