--- a/benches/cost/policy.rs
+++ b/benches/cost/policy.rs
@@ -190,15 +190,17 @@
         if vms.len() <= wanted {
             self.enough_since = None;
         } else if now >= *self.enough_since.get_or_insert(now) + REACTIVE_PATIENCE {
+            let counts = offers.iter().map(|offer| self.count(vms, &offer.place));
+            let counts: Vec<usize> = counts.collect();
             let rank = |vm: &&Machine| {
-                let position = offers.iter().position(|offer| offer.place == vm.place);
+                let position = offers.iter().position(|offer| offer.place == vm.place).unwrap_or(0);
                 match spread {
-                    true => (!vm.place.reclaimable, self.count(vms, &vm.place)),
-                    false => (false, position.unwrap_or(usize::MAX)),
+                    true => (!vm.place.reclaimable, counts[position]),
+                    false => (false, position),
                 }
             };
             let mut dearest: Vec<&Machine> = vms.iter().collect();
-            dearest.sort_by_key(|vm| std::cmp::Reverse(rank(vm)));
+            dearest.sort_by_cached_key(|vm| std::cmp::Reverse(rank(vm)));
             let surplus = dearest.into_iter().take(vms.len() - wanted);
             requests.extend(surplus.map(|vm| Request::Stop(vm.id.clone())));
         }
--- a/tests/capacity_plan.rs
+++ b/tests/capacity_plan.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use pomelolink::capacity::planner::{Answer, Ledger, Settings};
-use pomelolink::capacity::{Action, Machine, Need, Offer, Place, Planner, mix};
+use pomelolink::capacity::{Action, Machine, Need, Offer, Place, Planner, mix, offer};
+use pomelolink::resource::{self, Catalog, Kind, Phase, Progress, Resource, Status};
 
 const DOMAINS: [&str; 4] = ["dk-a", "dk-b", "dk-c", "dk-d"];
 const BEGIN: Duration = Duration::from_secs(1_000_000);
@@ -301,3 +302,43 @@
     assert!(mix::survivors(&world.counts()) >= 13);
     assert!(world.vms.len() <= before + 3, "{} VMs after {before}", world.vms.len());
 }
+
+/// The old version of an open move whose VMs are given up although it may take the traffic back.
+#[test]
+fn both_versions_of_an_open_move_keep_their_vms() {
+    let declared = r#"[
+        { "kind": "pool", "name": "old", "class": "small" },
+        { "kind": "pool", "name": "new", "class": "small" },
+        { "kind": "service", "name": "chat", "protocol": "model", "version": "chat-1" },
+        { "kind": "version", "name": "chat-1", "service": "chat", "pool": "old" },
+        { "kind": "version", "name": "chat-2", "service": "chat", "pool": "new" },
+        { "kind": "move", "name": "m", "service": "chat", "from": "chat-1", "to": "chat-2",
+          "within_s": 600 } ]"#;
+    let sheet = r#"{ "floors": [{ "service": "chat", "vms": 3 }], "pools": [
+        { "pool": "old", "unit": "tokens", "per_vm": 100 },
+        { "pool": "new", "unit": "tokens", "per_vm": 100 } ] }"#;
+    let sheet = offer::Sheet::parse(sheet).unwrap();
+    let needs = |phase: Phase, demand: f64| -> Vec<(u32, u32)> {
+        let progress = Progress {
+            phase,
+            share_permille: 800,
+            reason: "".into(),
+            accepted_ms: 0,
+            changed_ms: 0,
+        };
+        let resources = resource::parse("m.json", declared).unwrap().into_iter().map(|declared| {
+            let open = declared.id.kind == Kind::Move;
+            let status = Status { progress: open.then(|| progress.clone()), serving: None };
+            (declared.id, Resource { spec: declared.spec, generation: 1, status })
+        });
+        let catalog = Catalog { revision: 1, resources: resources.collect() };
+        let needs = sheet.needs(&catalog, |_, unit| match unit {
+            offer::Unit::Tokens => demand,
+            offer::Unit::Requests => 0.0,
+        });
+        needs.into_iter().map(|need| (need.vms, need.keep)).collect()
+    };
+    assert_eq!(needs(Phase::InProgress, 500.0), [(5, 3), (5, 3)]);
+    assert_eq!(needs(Phase::InProgress, 10.0), [(3, 3), (3, 3)]);
+    assert_eq!(needs(Phase::Reverted, 500.0), [(5, 3), (0, 0)]);
+}
