Bound, settle and remove claim rows

Cause: a batch with a write on a deleted row was sent again until its deadline, and every other write in it with it; a put outlasted its deadline by the time-out of the platform client; large recorded answers went into one transaction of any size; a claim refused because of an unknown outcome stayed taken, and each such request polled its row for 60 s; rows were never removed; a request sent without a whole answer kept repeated requests waiting until their deadline.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,11 +1,12 @@
 //! At-most-once execution of keyed, non-idempotent requests.
 //!
-//! A claim row in the table goes from `claimed` to `started` to `done`. Each step is conditional on
+//! A claim row in the table goes from `claimed` to `started` to `done` or `lost`. Each step is conditional on
 //! the row version seen before, so two nodes can't both start a request; see `docs/design.md`,
 //! section 9.
 
 pub mod batch;
 pub mod keeper;
+pub mod retain;
 
 use std::sync::Arc;
 
@@ -32,6 +33,8 @@
 pub enum State {
     Claimed,
     Started,
+    /// The request was sent and gave no whole answer; there will be none.
+    Lost,
     Done(Answer),
 }
 
@@ -43,7 +46,8 @@
     pub attempt: Arc<str>,
     /// SHA-256 of method, path and body.
     pub digest: Arc<str>,
-    /// Unix time, in milliseconds, until which the claimer may start the request.
+    /// Unix time, in milliseconds: until when the claimer may start the request, or when its answer
+    /// was recorded. The row is kept for `retain::KEEP` after it; 0 makes a free claim.
     pub until_ms: u64,
 }
 
@@ -58,7 +62,7 @@
     Replay(Answer),
     /// Another attempt is at work; read the row again later.
     Wait,
-    /// Another attempt started the request and its time is over; nobody will record an answer.
+    /// Another attempt started the request and nobody will record an answer.
     Lost,
     /// The key was used for another request.
     Mismatch,
@@ -72,6 +76,7 @@
     }
     match &row.state {
         State::Done(answer) => Step::Replay(answer.clone()),
+        State::Lost => Step::Lost,
         State::Started if is_over(row, now_ms) => Step::Lost,
         State::Started => Step::Wait,
         State::Claimed if *row.attempt == *attempt => Step::Start(version),
--- a/src/claim/batch.rs
+++ b/src/claim/batch.rs
@@ -4,15 +4,21 @@
 //! transaction at a time and at most one per window, whatever the rate of requests.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::retain;
 use crate::platform::{self, Outcome, Transaction};
 
 /// Most writes in one transaction.
 const BATCH_WRITES: usize = 256;
+/// Size in bytes after which a transaction takes no further write. A recorded answer can have
+/// megabytes; without the bound, a batch of them would exceed the platform's limit or time-out, and
+/// every write in it would fail with them.
+const BATCH_BYTES: usize = 1 << 20;
 /// Requests that may wait for a transaction; more are refused as not run.
 const QUEUE: usize = 8_192;
 /// Pause before a write with unknown outcome is tried again.
@@ -44,6 +50,8 @@
 #[derive(Debug)]
 struct Job {
     put: Put,
+    /// Size of the value in bytes, as JSON.
+    bytes: usize,
     reply: oneshot::Sender<Written>,
     /// Set once a transaction with this write had an unknown outcome.
     uncertain: bool,
@@ -53,23 +61,32 @@
 #[derive(Debug, Clone)]
 pub struct Batcher {
     jobs: mpsc::Sender<Job>,
+    scopes: Arc<retain::Scopes>,
 }
 
 impl Batcher {
-    /// Starts the task that sends the transactions.
+    /// Starts the tasks that send the transactions and remove old rows.
     pub fn start(client: platform::Client, window: Duration) -> Batcher {
         let (jobs, queue) = mpsc::channel(QUEUE);
+        let scopes = Arc::new(retain::Scopes::default());
+        tokio::spawn(retain::run(client.clone(), Arc::downgrade(&scopes)));
         tokio::spawn(run(client, window, queue));
-        Batcher { jobs }
+        Batcher { jobs, scopes }
     }
 
     pub async fn put(&self, put: Put) -> Written {
+        self.scopes.note(&put.key);
         let (reply, answer) = oneshot::channel();
-        let job = Job { put, reply, uncertain: false };
+        let (deadline, bytes) = (put.deadline, size(&put.value));
+        let job = Job { put, bytes, reply, uncertain: false };
         if self.jobs.try_send(job).is_err() {
             return Written::NotRun;
         }
-        answer.await.unwrap_or(Written::Unknown)
+        // A transaction in flight can outlast the deadline by the time-out of the platform client.
+        match tokio::time::timeout_at(deadline, answer).await {
+            Ok(answer) => answer.unwrap_or(Written::Unknown),
+            Err(_) => Written::Unknown,
+        }
     }
 }
 
@@ -97,18 +114,34 @@
     }
 }
 
-/// Takes at most one write per row and answers those whose time is over.
+/// Estimates the size of a value; the texts in it make up nearly all of a large one.
+fn size(value: &serde_json::Value) -> usize {
+    match value {
+        serde_json::Value::String(text) => text.len(),
+        serde_json::Value::Array(items) => items.iter().map(size).sum(),
+        serde_json::Value::Object(fields) => {
+            fields.iter().map(|(name, value)| name.len() + size(value)).sum()
+        }
+        _ => 8,
+    }
+}
+
+/// Takes at most one write per row and answers those whose time is over. The first write is taken
+/// whatever its size.
 fn select(jobs: Vec<Job>, now: Instant) -> (Vec<Job>, Vec<Job>) {
     let mut batch: Vec<Job> = Vec::new();
     let mut rest = Vec::new();
+    let mut bytes = 0;
     for job in jobs {
         if job.put.deadline <= now {
             let _ = job.reply.send(if job.uncertain { Written::Unknown } else { Written::NotRun });
         } else if batch.len() >= BATCH_WRITES
+            || (!batch.is_empty() && bytes + job.bytes > BATCH_BYTES)
             || batch.iter().any(|other| other.put.key == job.put.key)
         {
             rest.push(job);
         } else {
+            bytes += job.bytes;
             batch.push(job);
         }
     }
@@ -128,7 +161,11 @@
             }
             Vec::new()
         }
-        Outcome::Rejected(rows) => settle(batch, rows),
+        Outcome::Rejected(rows) => {
+            let count = batch.len();
+            let again = settle(batch, rows);
+            if again.len() < count { again } else { settle_missing(client, again).await }
+        }
         Outcome::NotRun => {
             let mut again = Vec::new();
             for job in batch {
@@ -176,14 +213,31 @@
     again
 }
 
+/// Settles writes whose row was deleted: the platform names no row for a condition that failed
+/// because the row is missing, so nothing else tells which write was at fault.
+async fn settle_missing(client: &platform::Client, batch: Vec<Job>) -> Vec<Job> {
+    let Ok(rows) = client.read(&query(&batch)).await else {
+        pause(&batch).await;
+        return batch;
+    };
+    let (missing, again): (Vec<Job>, Vec<Job>) = batch
+        .into_iter()
+        .partition(|job| job.put.version.is_some() && !rows.contains_key(&job.put.key));
+    for job in missing {
+        let _ = job.reply.send(Written::Conflict(None));
+    }
+    again
+}
+
+fn query(batch: &[Job]) -> platform::Query {
+    let keys = batch.iter().map(|job| job.put.key.clone()).collect();
+    platform::Query { keys, prefixes: Vec::new() }
+}
+
 /// Settles writes after a lost answer. A write that is not visible yet may still take effect, so
 /// it is sent again under the same condition instead of being reported as not run.
 async fn read_back(client: &platform::Client, batch: Vec<Job>) -> Vec<Job> {
-    let query = platform::Query {
-        keys: batch.iter().map(|job| job.put.key.clone()).collect(),
-        prefixes: Vec::new(),
-    };
-    let rows = client.read(&query).await.unwrap_or_default();
+    let rows = client.read(&query(&batch)).await.unwrap_or_default();
     let mut again = Vec::new();
     for mut job in batch {
         match rows.get(&job.put.key) {
--- a/src/claim/keeper.rs
+++ b/src/claim/keeper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::batch::{Batcher, Put, Written};
@@ -15,6 +16,8 @@
 /// A recorded answer is tried this long; the caller does not wait for it longer than `RECORD_WAIT`.
 const RECORD_TIME: Duration = Duration::from_secs(60);
 const RECORD_WAIT: Duration = Duration::from_secs(1);
+/// Pause before an outcome is recorded again; it doubles up to `RECORD_WAIT`.
+const RECORD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Names one keyed request.
 #[derive(Debug, Clone)]
@@ -84,14 +87,12 @@
             }
             Step::Lost => return Err(unfinished(seen.as_ref())),
             Step::Claim(version) => {
-                seen = write(client, batcher, &claim, version, State::Claimed).await?;
+                let written = write(client, batcher, &claim, version, State::Claimed).await;
+                seen = or_withdraw(written, batcher, &claim, version)?;
             }
             Step::Start(version) => {
                 let written = write(client, batcher, &claim, Some(version), State::Started).await;
-                if written.is_err() {
-                    tokio::spawn(withdraw(client.clone(), batcher.clone(), claim.clone()));
-                }
-                seen = written?;
+                seen = or_withdraw(written, batcher, &claim, Some(version))?;
                 if let Some((version, row)) = &seen
                     && row.state == State::Started
                     && row.attempt == claim.attempt
@@ -103,27 +104,52 @@
     }
 }
 
+/// Passes the row on, or frees the key when the step failed.
+fn or_withdraw(
+    written: Result<Option<(u64, Row)>>,
+    batcher: &Batcher,
+    claim: &Claim,
+    version: Option<u64>,
+) -> Result<Option<(u64, Row)>> {
+    if written.is_err() {
+        tokio::spawn(withdraw(batcher.clone(), claim.clone(), version));
+    }
+    written
+}
+
 impl Started {
-    /// Frees the key after the request provably did not reach an endpoint.
+    /// Frees the key after the request provably did not reach an endpoint. The caller waits a
+    /// bounded time; freeing goes on after that, since a `started` row is never taken over.
     pub async fn release(self, batcher: &Batcher) {
-        let Ok(value) = serde_json::to_value(self.claim.abandoned()) else { return };
-        let deadline = Instant::now() + RECORD_WAIT;
-        let key = self.claim.key.clone();
-        batcher.put(Put { key, version: Some(self.version), value, deadline }).await;
+        let task = tokio::spawn(withdraw(batcher.clone(), self.claim, Some(self.version)));
+        let _ = tokio::time::timeout(RECORD_WAIT, task).await;
     }
 
     /// Records the answer. The caller waits a bounded time; recording goes on after that.
     pub async fn record(self, batcher: &Batcher, answer: Answer) {
+        let task = self.settle(batcher, State::Done(answer));
+        let _ = tokio::time::timeout(RECORD_WAIT, task).await;
+    }
+
+    /// Records that there will be no answer, so that repeated requests do not wait for one. Nobody
+    /// waits for this write.
+    pub fn lose(self, batcher: &Batcher) {
+        drop(self.settle(batcher, State::Lost));
+    }
+
+    fn settle(self, batcher: &Batcher, state: State) -> JoinHandle<()> {
         let row = Row {
-            state: State::Done(answer),
+            state,
             attempt: self.claim.attempt.clone(),
             digest: self.claim.digest.clone(),
-            until_ms: 0,
+            until_ms: unix_ms(),
         };
-        let Ok(value) = serde_json::to_value(&row) else { return };
+        let value = serde_json::to_value(&row);
         let batcher = batcher.clone();
-        let task = tokio::spawn(async move {
+        tokio::spawn(async move {
+            let Ok(value) = value else { return };
             let deadline = Instant::now() + RECORD_TIME;
+            let mut pause = RECORD_PAUSE;
             while Instant::now() < deadline {
                 let put = Put {
                     key: self.claim.key.clone(),
@@ -134,11 +160,11 @@
                 if !matches!(batcher.put(put).await, Written::NotRun) {
                     return;
                 }
-                tokio::time::sleep(RECORD_WAIT).await;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RECORD_WAIT);
             }
-            log::error!("claim: the answer of {} could not be recorded", self.claim.attempt);
-        });
-        let _ = tokio::time::timeout(RECORD_WAIT, task).await;
+            log::error!("claim: the outcome of {} could not be recorded", self.claim.attempt);
+        })
     }
 }
 
@@ -171,23 +197,24 @@
     }
 }
 
-/// Frees the key of an attempt that gave up while its start step had an unknown outcome. The
-/// attempt sends nothing any more, so a `started` row of its own can safely become a free claim.
-async fn withdraw(client: platform::Client, batcher: Batcher, claim: Claim) {
+/// Frees the key of an attempt that gave up before it sent anything.
+///
+/// The last write of the attempt may still take effect, so the free claim is written on condition of
+/// the row version that the attempt knew: either it comes first and makes the late write fail, or it
+/// is rejected with the row that the late write left. It goes through the batcher, since after an
+/// outage there are as many of these writes as there were refused requests.
+async fn withdraw(batcher: Batcher, claim: Claim, mut version: Option<u64>) {
     let deadline = Instant::now() + RECORD_TIME;
     let Ok(value) = serde_json::to_value(claim.abandoned()) else { return };
     while Instant::now() < deadline {
-        tokio::time::sleep(RECORD_WAIT).await;
-        let Ok(Some((version, row))) = read(&client, &claim.key).await else { continue };
-        if row.attempt != claim.attempt {
-            return;
-        }
-        if row.state == State::Started {
-            let key = claim.key.clone();
-            let put = Put { key, version: Some(version), value: value.clone(), deadline };
-            if matches!(batcher.put(put).await, Written::Done(_) | Written::Conflict(_)) {
-                return;
-            }
+        let put = Put { key: claim.key.clone(), version, value: value.clone(), deadline };
+        match batcher.put(put).await {
+            Written::Conflict(Some(row)) => match parse(&row) {
+                Ok(found) if found.attempt == claim.attempt => version = Some(row.version),
+                _ => return,
+            },
+            Written::NotRun => tokio::time::sleep(RECORD_WAIT).await,
+            Written::Done(_) | Written::Conflict(None) | Written::Unknown => return,
         }
     }
 }
@@ -206,7 +233,7 @@
 /// Explains why another attempt kept this one waiting until the deadline.
 fn unfinished(seen: Option<&(u64, Row)>) -> Error {
     match seen {
-        Some((_, row)) if row.state == State::Started => {
+        Some((_, row)) if matches!(row.state, State::Started | State::Lost) => {
             Error::new(Kind::OutcomeUnknown, "an earlier request with this key has no answer yet")
         }
         _ => Error::new(Kind::KeyInFlight, "another request with this key is in progress"),
