Keep refusals true, avoid silent connections and hedge lookups

Bookings were put on connections that had answered up to 500 ms ago, and dead idle connections were probed one after the other. Lookups on silent connections waited until their deadline. A booking was dropped between claim and record when its caller went away. A slow or unavailable platform blamed endpoints for requests that had no time left, and taught admission to refuse requests after the outage.

--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -1,5 +1,7 @@
 //! Plain services: pass-through, retries of idempotent requests, at-most-once for keyed ones.
 
+mod lookup;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,13 +14,12 @@
 use xxhash_rust::xxh3;
 
 use super::target::{self, Flight, Trouble, Wish};
-use super::{Context, body, identify};
+use super::{Context, admit, body, identify};
 use crate::claim::{self, keeper};
 use crate::daemon::Node;
 use crate::endpoint::answer::{self, Answer, Fault, REQUEST_ID};
-use crate::error::{Error, Kind, Result};
-use crate::resource::Service;
-use crate::retry;
+use crate::endpoint::pool;
+use crate::error::{Error, Kind, Result, Run};
 
 /// Names the header by which a caller makes a non-idempotent request repeatable.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -28,8 +29,8 @@
 const KEY_BYTES: usize = 256;
 /// Endpoints tried for a request that provably did not reach the one before.
 const ENDPOINTS_TRIED: usize = 4;
-/// Shortest time in which a further attempt can succeed.
-const SHORTEST_ATTEMPT: Duration = Duration::from_millis(5);
+/// An endpoint that got less time than this before the deadline is not blamed for a missing answer.
+const FAIR_WAIT: Duration = Duration::from_millis(250);
 /// Work of one plain request in the unit of admission.
 const WORK: u32 = 1;
 
@@ -82,28 +83,53 @@
         body,
     };
     let permit = context.admit(node, &call.service, service, WORK).await?;
-    let result = run(node, &context, service, &call, path, key).await;
-    permit.complete(WORK);
-    let label = result.as_ref().map_or_else(|error| error.kind.answer().name, |_| "complete");
-    node.metrics.requests.with_label_values(&[&*call.service, label]).inc();
+    let idempotent = service.is_idempotent(&call.method, path);
+    let key = key.map(str::to_owned);
+    let work = run(node.clone(), context, call, idempotent, key, permit);
+    let result = if idempotent {
+        work.await
+    } else {
+        // A request that changes something is finished and recorded although its caller may have
+        // gone: the caller can repeat it elsewhere under the same key and gets the answer.
+        let failed = |_| Err(Error::new(Kind::Internal, "the request was interrupted"));
+        tokio::spawn(work).await.unwrap_or_else(failed)
+    };
     Ok(respond(result?))
 }
 
 async fn run(
-    node: &Arc<Node>,
-    context: &Context,
-    service: &Service,
-    call: &Call,
-    path: &str,
-    key: Option<&str>,
+    node: Arc<Node>,
+    context: Context,
+    call: Call,
+    idempotent: bool,
+    key: Option<String>,
+    permit: admit::Permit,
 ) -> Result<Answer> {
-    if service.is_idempotent(&call.method, path) {
-        return repeat(node, context, call).await;
-    }
-    match key {
-        Some(key) => run_once(node, context, call, key).await,
-        None => send_once(node, context, call).await.map_err(|fault| refuse(&fault)),
+    let (node, context) = (&node, &context);
+    // Admission predicts from the time that endpoints take. A request that was not sent, for instance
+    // during an outage of the platform, would teach it to refuse requests after the outage.
+    let mut sent = true;
+    let result = match key {
+        _ if idempotent => lookup::repeat(node, context, &call).await,
+        Some(key) => match enter(node, context, &call, &key).await {
+            Ok(keeper::Entry::Started(started)) => run_once(node, context, &call, started).await,
+            Ok(keeper::Entry::Recorded(recorded)) => {
+                sent = false;
+                replay(&recorded)
+            }
+            Err(error) => {
+                sent = false;
+                Err(error)
+            }
+        },
+        None => send_once(node, context, &call).await.map_err(|fault| refuse(&fault)),
+    };
+    if sent && !result.as_ref().is_err_and(|error| error.run() == Run::No) {
+        permit.complete(WORK);
     }
+    let label = result.as_ref().map_or_else(|error| error.kind.answer().name, |_| "complete");
+    node.metrics.requests.with_label_values(&[&*call.service, label]).inc();
+    result
 }
 
 impl Call {
@@ -132,46 +158,6 @@
     }
 }
 
-/// Repeats an idempotent request while time and the retry budget are left.
-async fn repeat(node: &Arc<Node>, context: &Context, call: &Call) -> Result<Answer> {
-    let mut wish = call.wish(context);
-    let mut number = 0;
-    loop {
-        let flight = match target::choose(node, &context.catalog, &wish) {
-            Ok(flight) => flight,
-            Err(_) if !wish.exclude.is_empty() => {
-                wish.exclude.clear();
-                target::choose(node, &context.catalog, &wish)?
-            }
-            Err(error) => return Err(error),
-        };
-        number += 1;
-        let (vm, version) = (flight.vm.clone(), flight.version.clone());
-        let fallback = flight.fallback.is_some();
-        let error = match send(node, context, call, flight).await {
-            Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
-            Ok(answer) => {
-                Error::new(Kind::EndpointFailed, format!("the endpoint answered {}", answer.status))
-            }
-            Err(fault) => refuse(&fault),
-        };
-        wish.exclude.push(vm);
-        wish.avoid = fallback.then_some(version);
-        let attempt = retry::Attempt {
-            run: error.run(),
-            idempotent: true,
-            deadline: node.time_of(call.deadline.into_std()),
-            expected: SHORTEST_ATTEMPT,
-            number,
-        };
-        match node.decide_retry(&call.service, attempt) {
-            retry::Decision::Resend(pause) => tokio::time::sleep(pause).await,
-            retry::Decision::Stop(_) => return Err(error),
-        }
-        node.metrics.retries.with_label_values(&[&*call.service]).inc();
-    }
-}
-
 /// Sends a request at most once; only what provably did not run goes to another endpoint.
 async fn send_once(
     node: &Arc<Node>,
@@ -183,7 +169,7 @@
     for _ in 0..ENDPOINTS_TRIED {
         let Ok(flight) = target::choose(node, &context.catalog, &wish) else { break };
         wish.exclude.push(flight.vm.clone());
-        match send(node, context, call, flight).await {
+        match send(node, context, call, flight, pool::SHORT_PROOF_AGE).await {
             Err(Fault::NotRun(reason)) => last = Fault::NotRun(reason),
             other => return other,
         }
@@ -191,25 +177,36 @@
     Err(last)
 }
 
-async fn run_once(node: &Arc<Node>, context: &Context, call: &Call, key: &str) -> Result<Answer> {
+async fn enter(
+    node: &Arc<Node>,
+    context: &Context,
+    call: &Call,
+    key: &str,
+) -> Result<keeper::Entry> {
     let claim = keeper::Claim {
         key: claim::row_key(&context.workspace, &call.service, key),
         attempt: context.id.clone(),
         digest: claim::digest(call.method.as_str(), &call.path, &call.body),
         deadline: call.deadline,
     };
-    let started = match keeper::enter(&node.client, &node.batcher, claim).await? {
-        keeper::Entry::Recorded(recorded) => return replay(&recorded),
-        keeper::Entry::Started(started) => started,
-    };
+    keeper::enter(&node.client, &node.batcher, claim).await
+}
+
+async fn run_once(
+    node: &Arc<Node>,
+    context: &Context,
+    call: &Call,
+    started: keeper::Started,
+) -> Result<Answer> {
     match send_once(node, context, call).await {
         Ok(answer) => {
             started.record(&node.batcher, record(&answer)).await;
             Ok(answer)
         }
         Err(fault) => {
-            if matches!(fault, Fault::NotRun(_)) {
-                started.release(&node.batcher).await;
+            match &fault {
+                Fault::NotRun(_) => started.release(&node.batcher).await,
+                _ => started.lose(&node.batcher),
             }
             Err(refuse(&fault))
         }
@@ -221,10 +218,15 @@
     context: &Context,
     call: &Call,
     flight: Flight,
+    proof: Duration,
 ) -> std::result::Result<Answer, Fault> {
     let began = Instant::now();
-    let result = exchange(node, context, call, &flight).await;
+    let result = exchange(node, context, call, &flight, proof).await;
+    let rushed = Instant::now() >= call.deadline && began.elapsed() < FAIR_WAIT;
     match &result {
+        // What was left of the time, for instance by a slow platform, proves nothing against the
+        // endpoint or its version; dropping the flight counts it as cancelled.
+        Err(_) if rushed => drop(flight),
         Ok(answer) => {
             flight.load(&answer.headers);
             let failed = answer.status.is_client_error() || answer.status.is_server_error();
@@ -241,6 +243,7 @@
     context: &Context,
     call: &Call,
     flight: &Flight,
+    proof: Duration,
 ) -> std::result::Result<Answer, Fault> {
     let mut request = http::Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -253,11 +256,8 @@
         request.headers_mut().insert(REQUEST_ID, id);
     }
     let pool = node.directory.pool(flight.address);
-    let exchange = answer::exchange(&pool, request, node.settings.limits.answer_bytes);
-    match tokio::time::timeout_at(call.deadline, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(Fault::Unknown("the deadline has passed".to_owned())),
-    }
+    let limit = node.settings.limits.answer_bytes;
+    answer::exchange(&pool, request, limit, proof, call.deadline).await
 }
 
 fn refuse(fault: &Fault) -> Error {
--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -13,8 +13,12 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// A connection used within this time counts as alive and is not probed again.
-const PROOF_AGE: Duration = Duration::from_millis(500);
+/// A connection used within this time counts as alive and is not probed again before a request that
+/// may be repeated.
+pub const PROOF_AGE: Duration = Duration::from_millis(500);
+/// The same before a request that must not be repeated. If the connection has gone silent, such a
+/// request is lost, so nearly every one is worth a round trip for a probe.
+pub const SHORT_PROOF_AGE: Duration = Duration::from_millis(5);
 /// Longest wait for the answer to a probe; a healthy endpoint answers within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -59,21 +63,43 @@
         self.address
     }
 
-    /// Gives a connection on which the endpoint has just answered, or a new one.
+    /// Gives a connection for a request that may be repeated.
     ///
     /// # Errors
     ///
     /// Fails with `NotRun` when the endpoint can't be reached.
     pub async fn checkout(&self) -> Result<Connection, Failure> {
-        while let Some(mut connection) = self.pop() {
-            if connection.proved.elapsed() < PROOF_AGE || connection.probe().await {
+        self.checkout_within(PROOF_AGE).await
+    }
+
+    /// Gives a connection on which the endpoint has answered within `proof`, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `NotRun` when the endpoint can't be reached.
+    pub async fn checkout_within(&self, proof: Duration) -> Result<Connection, Failure> {
+        if let Some(mut connection) = self.pop() {
+            let asked = Instant::now();
+            if connection.proved.elapsed() < proof || connection.probe().await {
                 return Ok(connection);
             }
-            log::info!("endpoint: idle connection to {} is dead; closing it", self.address);
+            // What silenced this connection has probably silenced the others that were open then.
+            // Probing them one after the other would use up the time of the request.
+            let closed = self.discard_before(asked);
+            let address = self.address;
+            log::info!("endpoint: connection to {address} is dead; closing it and {closed} others");
         }
         self.connect().await
     }
 
+    /// Closes idle connections without a sign of life since the given time, and counts them.
+    fn discard_before(&self, time: Instant) -> usize {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = idle.len();
+        idle.retain(|connection| connection.proved > time);
+        before - idle.len()
+    }
+
     /// Takes a connection back whose last answer was read to its end.
     pub fn put_back(&self, mut connection: Connection) {
         connection.proved = Instant::now();
--- a/tests/proof/mod.rs
+++ b/tests/proof/mod.rs
@@ -43,11 +43,24 @@
     pub attempts: usize,
     pub deadline_ms: u64,
     pub keyed: bool,
+    /// Time before an operation is repeated.
+    pub pause_ms: u64,
+    /// Operations started per second; 0 to start as many as the concurrency allows.
+    pub rate: u32,
 }
 
 impl Load {
     pub fn new(name: &'static str, operations: usize) -> Load {
-        Load { name, operations, concurrency: 48, attempts: 3, deadline_ms: 3_000, keyed: true }
+        Load {
+            name,
+            operations,
+            concurrency: 64,
+            attempts: 3,
+            deadline_ms: 3_000,
+            keyed: true,
+            pause_ms: 100,
+            rate: 0,
+        }
     }
 }
 
@@ -80,7 +93,15 @@
 /// be compared with its executions; an unkeyed one must not be repeated unless it was not run.
 pub async fn drive(entries: Vec<SocketAddr>, load: Load) -> Vec<Outcome> {
     let load = Arc::new(load);
-    let operations = stream::iter(0..load.operations).map(|number| {
+    let (began, rate) = (tokio::time::Instant::now(), load.rate);
+    let numbers = stream::iter(0..load.operations).then(|number| async move {
+        if rate > 0 {
+            let due = Duration::from_secs_f64(number as f64 / f64::from(rate));
+            tokio::time::sleep_until(began + due).await;
+        }
+        number
+    });
+    let operations = numbers.map(|number| {
         let (entries, load) = (entries.clone(), load.clone());
         let task = tokio::spawn(async move { operation(&entries, &load, number).await });
         async move { task.await.unwrap_or_default() }
@@ -100,7 +121,7 @@
         if end {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        pause(load.pause_ms).await;
     }
     outcomes
 }
@@ -150,22 +171,61 @@
         summary.answered += usize::from(!answers.is_empty());
         summary.unknown += usize::from(tries.iter().any(|outcome| outcome.run == "unknown"));
     }
-    println!("{summary:?}");
+    println!("{summary:?} {:?}", kinds(outcomes));
     summary
 }
 
+/// Counts the outcomes of all attempts by error kind.
+fn kinds(outcomes: &[Outcome]) -> BTreeMap<String, usize> {
+    let mut kinds = BTreeMap::new();
+    for outcome in outcomes.iter().filter(|outcome| !outcome.is_success()) {
+        let kind = outcome.body["error"]["kind"].as_str().unwrap_or("connection broke");
+        *kinds.entry(kind.to_owned()).or_insert(0) += 1;
+    }
+    kinds
+}
+
 /// Repeats answered operations at other entry VMs: the recorded answer must come back.
 pub async fn check_recorded(entries: &[SocketAddr], outcomes: &[Outcome]) {
     let answered = outcomes.iter().filter(|outcome| outcome.is_success()).step_by(5);
     let repeats = stream::iter(answered.enumerate()).map(|(number, first)| async move {
         let entry = entries[number % entries.len()];
-        let again = book(entry, &first.key, 5_000, true).await;
+        let again = book_until_answered(entry, &first.key).await;
         assert_eq!(again.status, first.status, "{first:?} then {again:?}");
         assert_eq!(again.body, first.body, "the recorded answer of {} differs", first.key);
     });
     repeats.buffer_unordered(32).collect::<()>().await;
 }
 
+/// Repeats the operations that were repeated without an answer, once all faults have ended. Those
+/// sent once are left alone, so that their refusals can be compared with their executions.
+pub async fn finish(entries: &[SocketAddr], outcomes: &mut Vec<Outcome>) {
+    let mut tries: BTreeMap<String, (usize, bool)> = BTreeMap::new();
+    for outcome in outcomes.iter() {
+        let entry = tries.entry(outcome.key.clone()).or_default();
+        *entry = (entry.0 + 1, entry.1 || outcome.is_success());
+    }
+    let open = tries.into_iter().filter(|(_, (count, answered))| *count > 1 && !answered);
+    let calls = stream::iter(open.enumerate()).map(|(number, (key, _))| async move {
+        book_until_answered(entries[number % entries.len()], &key).await
+    });
+    outcomes.extend(calls.buffer_unordered(32).collect::<Vec<_>>().await);
+}
+
+/// Repeats a booking as a caller does. Shortly after a fault, admission may still refuse it and its
+/// answer may still have to be recorded.
+async fn book_until_answered(entry: SocketAddr, key: &str) -> Outcome {
+    let mut outcome = book(entry, key, 5_000, true).await;
+    for _ in 0..20 {
+        if outcome.is_success() {
+            break;
+        }
+        pause(200).await;
+        outcome = book(entry, key, 5_000, true).await;
+    }
+    outcome
+}
+
 /// Starts entry VMs and booking services only.
 pub async fn fleet(dir: &tempfile::TempDir, entries: usize, services: usize) -> Result<Fleet> {
     let mut fleet = Fleet::start(common::programs(), dir.path())?;
@@ -200,6 +260,12 @@
     Ok(fleet.control("POST", "/control/faults", faults).await?)
 }
 
+/// Gives one counter of the platform.
+pub async fn platform_counter(fleet: &Fleet, name: &str) -> Result<u64> {
+    let answer = client::call(fleet.platform, "GET", "/control/counters", &[], "").await?;
+    Ok(answer.json()[name].as_u64().ok_or("the platform has no such counter")?)
+}
+
 pub async fn pause(millis: u64) {
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
