Resume streams at any entry VM, copy them at acceptance and add drafts

Cause: a caller could resume a stream only at the VM that holds it, a killed entry VM lost the prompt, drafts did not exist, a whole-answer caller was refused when its stream was handed over, a slow VM list delayed notices, and a later notice with less time was ignored.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod body;
 pub mod chat;
+pub mod draft;
 pub mod event;
 pub mod plain;
 pub mod pump;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::extract::{Request, State};
+use axum::extract::{Path, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use http::{HeaderMap, HeaderValue, header};
@@ -93,6 +94,7 @@
     Router::new()
         .route("/v1/chat/completions", post(complete))
         .route("/v1/models", get(models))
+        .route("/v1/drafts/{id}", get(read_draft))
         .route("/healthz", get(async || "ok\n"))
         .route("/readyz", get(ready))
         .fallback(forward)
@@ -112,6 +114,16 @@
     finish(echo, chat::handle(&node, id, request).await)
 }
 
+async fn read_draft(
+    State(node): State<Arc<Node>>,
+    Path(draft): Path<String>,
+    request: Request,
+) -> Response {
+    let id = node.next_id();
+    let echo = echo_id(request.headers(), &id);
+    finish(echo, draft::read(&node, id, &draft, request.headers()).await)
+}
+
 async fn forward(State(node): State<Arc<Node>>, request: Request) -> Response {
     let id = node.next_id();
     let echo = echo_id(request.headers(), &id);
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::extract::Request;
 use axum::response::{IntoResponse, Response};
@@ -10,14 +11,16 @@
 use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, Visitor};
 use tokio::time::Instant;
 
-use super::{Context, body, event, identify, pump};
-use crate::daemon::Node;
+use super::{Context, admit, body, draft, event, identify, pump};
+use crate::daemon::{Node, drain};
 use crate::error::{Error, Kind, Result};
 use crate::resource::{Protocol, Service};
 use crate::stream::{self, Finish};
 
 /// Names the header by which a caller goes on with a stream whose connection broke.
 const LAST_EVENT_ID: &str = "last-event-id";
+/// Time in which an answer still reaches its caller before the process ends.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Length of an answer for which the caller set no limit, as admission expects it.
 const EXPECTED_TOKENS: u32 = 256;
 
@@ -41,8 +44,12 @@
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not valid UTF-8"))?;
     let head = parse(text)?;
     let service = model_service(&context, &head.model)?;
-    let accepted = accept(node, &context, &head, service, text).await?;
-    if head.stream { answer_stream(accepted, 0).await } else { answer_whole(accepted).await }
+    let (permit, request) = admitted(node, &context, &head, service, text).await?;
+    if draft::is_wanted(&parts.headers) {
+        return draft::accept(node, permit, request).await;
+    }
+    let accepted = accept(node, permit, request)?;
+    if head.stream { answer_stream(accepted, 0).await } else { answer_whole(node, accepted).await }
 }
 
 /// Reads the fields that the relay needs and checks that the rest is valid JSON.
@@ -58,14 +65,14 @@
     service.ok_or_else(|| Error::new(Kind::NotFound, format!("there is no model \"{model}\"")))
 }
 
-/// Waits for admission and opens the journal entry; from here on the request is accepted.
-async fn accept(
+/// Waits for admission.
+async fn admitted(
     node: &Arc<Node>,
     context: &Context,
     head: &Head,
     service: &Service,
     text: &str,
-) -> Result<Arc<stream::Entry>> {
+) -> Result<(admit::Permit, stream::Request)> {
     let name: Arc<str> = head.model.as_str().into();
     let work = head.max_tokens.unwrap_or(EXPECTED_TOKENS);
     let permit = context.admit(node, &name, service, work).await?;
@@ -79,10 +86,22 @@
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         draft: false,
     };
+    Ok((permit, request))
+}
+
+/// Opens the journal entry; from here on the request is accepted.
+pub fn accept(
+    node: &Arc<Node>,
+    permit: admit::Permit,
+    request: stream::Request,
+) -> Result<Arc<stream::Entry>> {
     let entry = node.journal.open(request, Vec::new()).ok_or_else(|| {
         Error::new(Kind::Overloaded, "too many streams are open on this entry VM")
     })?;
     entry.start_carrying();
+    // Not awaited, so that the copy adds nothing to the time to the first token.
+    let (copying, copied) = (node.clone(), entry.clone());
+    tokio::spawn(async move { drain::copy(&copying, &copied).await });
     let (node, carried) = (node.clone(), entry.clone());
     tokio::spawn(async move {
         pump::carry(node, carried.clone()).await;
@@ -98,9 +117,10 @@
     let (id, offset) = parsed.ok_or_else(|| {
         Error::new(Kind::BadRequest, "the Last-Event-ID is not one of this service")
     })?;
-    let entry = node.journal.get(id).filter(|entry| entry.request.workspace == context.workspace);
-    let entry =
-        entry.ok_or_else(|| Error::new(Kind::StreamGone, "the stream is not known any more"))?;
+    let entry = stream::remote::find(node, id).await?;
+    if entry.request.workspace != context.workspace {
+        return Err(Error::new(Kind::StreamGone, "the stream is not known any more"));
+    }
     answer_stream(entry, offset).await
 }
 
@@ -115,7 +135,12 @@
     {
         return Err(Error::new(*kind, &**detail));
     }
-    let first = encoder.encode(offset, &part);
+    let first = if part.moved && part.tokens.is_empty() && part.finish.is_none() {
+        // The caller has seen no event yet, so it learns here with which id it can resume.
+        encoder.position(offset)
+    } else {
+        encoder.encode(offset, &part)
+    };
     let body = event::body(reader, encoder, first, part.finish.is_some());
     let headers = [
         (header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream")),
@@ -124,24 +149,34 @@
     Ok((StatusCode::OK, headers, body).into_response())
 }
 
-async fn answer_whole(entry: Arc<stream::Entry>) -> Result<Response> {
+async fn answer_whole(node: &Arc<Node>, entry: Arc<stream::Entry>) -> Result<Response> {
     let reader = entry.reader(0);
     let finish = entry.wait().await;
     drop(reader);
-    match finish {
-        None => {
-            // The answer is not lost: any entry VM gives the rest for this event id.
-            let detail = format!("resume with Last-Event-ID: {}.-1", entry.request.id);
-            Err(Error::new(Kind::StreamMoved, detail))
-        }
-        Some(Finish::Complete { reason, usage }) => {
-            let content = entry.tokens().concat();
+    let ended = match finish {
+        Some(finish) => Some((entry.tokens(), finish)),
+        None => stream::remote::follow(node, &entry, node.release_by() - ANSWER_TIME).await,
+    };
+    match ended {
+        None => Ok(moved(&entry.request.id)),
+        Some((tokens, Finish::Complete { reason, usage })) => {
             let (id, model) = (&entry.request.id, &entry.request.service);
-            let body = event::completion(id, model, &content, &reason, &usage);
+            let body = event::completion(id, model, &tokens.concat(), &reason, &usage);
             Ok(axum::Json(body).into_response())
         }
-        Some(Finish::Failed { kind, detail }) => Err(Error::new(kind, &*detail)),
+        Some((_, Finish::Failed { kind, detail })) => Err(Error::new(kind, &*detail)),
+    }
+}
+
+/// Tells the caller of a whole answer that any other entry VM gives it for an event id.
+fn moved(id: &str) -> Response {
+    let last = format!("{id}.-1");
+    let detail = format!("resume with Last-Event-ID: {last}");
+    let mut response = Error::new(Kind::StreamMoved, detail).into_response();
+    if let Ok(value) = HeaderValue::from_str(&last) {
+        response.headers_mut().insert(LAST_EVENT_ID, value);
     }
+    response
 }
 
 /// Gives the text of all messages, by which prompts with the same beginning are recognised.
--- a/src/caller/event.rs
+++ b/src/caller/event.rs
@@ -56,6 +56,12 @@
         Bytes::from(text)
     }
 
+    /// Encodes an event without data, which only tells the caller the id to resume with.
+    pub fn position(&self, offset: u64) -> Bytes {
+        let last = offset.checked_sub(1).map_or("-1".to_owned(), |last| last.to_string());
+        Bytes::from(format!("id: {}.{last}\n\n", self.id))
+    }
+
     fn open(&self, text: &mut String, number: u64) {
         text.push_str("id: ");
         text.push_str(&self.id);
--- a/src/caller/pump.rs
+++ b/src/caller/pump.rs
@@ -1,5 +1,6 @@
 //! Carries an accepted stream over one or more endpoints to its end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,14 +11,14 @@
 use xxhash_rust::xxh3;
 
 use super::target::{self, Flight, Trouble, Wish};
-use super::{PRIORITY, chat};
+use super::{PRIORITY, chat, draft};
 use crate::daemon::Node;
 use crate::endpoint::answer::{self, Fault, REQUEST_ID};
-use crate::endpoint::pool::Lent;
+use crate::endpoint::pool::{Lent, Pool};
 use crate::endpoint::sse;
 use crate::error::Kind;
 use crate::routing;
-use crate::stream::{Entry, Finish};
+use crate::stream::{Entry, Finish, state};
 use crate::timeline::Subject;
 
 /// Pause before the second attempt; it doubles up to 640 ms, so that an accepted stream waits for
@@ -27,8 +28,11 @@
 /// A stream that has been silent this long is resumed on another endpoint. It is well above the
 /// token gap of an overloaded engine and well below what a caller takes for a stalled chat.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Longest wait for the first token; a queue at the engine is not a silent connection.
+/// Longest wait for the first token; a queue at the engine is not a silent connection. An engine
+/// that does not even answer a request for its load is left after `SILENCE`.
 const HEAD_SILENCE: Duration = Duration::from_secs(10);
+/// Largest load report.
+const LOAD_BYTES: usize = 64 << 10;
 /// Period in which a pump looks whether anybody still wants its stream.
 const WANTED_PERIOD: Duration = Duration::from_secs(1);
 
@@ -70,6 +74,9 @@
     };
     node.metrics.requests.with_label_values(&[&*entry.request.service, result]).inc();
     entry.close(finish);
+    if entry.request.draft {
+        draft::store(&node, &entry);
+    }
 }
 
 async fn unwanted(node: &Node, entry: &Entry) {
@@ -92,6 +99,8 @@
     let mut wish = Wish::new(request.service.clone(), "/v1/chat/completions".into(), hash);
     wish.blocks = routing::blocks(&chat::prompt(&request.body)).into_iter().collect();
     let mut number = 0;
+    // Endpoint whose cached state the next one can take.
+    let mut source: Option<(Arc<str>, SocketAddr)> = None;
     loop {
         let catalog = node.revision.current();
         let Ok(flight) = target::choose(node, &catalog, &wish) else {
@@ -102,7 +111,14 @@
             continue;
         };
         number += 1;
+        if let Some((vm, from)) = source.take() {
+            let left = node.time_left(&vm);
+            if state::transfer(node, &request.id, from, flight.address, left).await {
+                node.metrics.moved_states.inc();
+            }
+        }
         let (vm, fallback) = (flight.vm.clone(), flight.fallback.clone());
+        let address = flight.address;
         let version = flight.version.clone();
         let stop = match attempt(node, entry, flight).await {
             Ok(finish) => return finish,
@@ -121,6 +137,9 @@
         node.record("stream", subject, format!("endpoint {vm} lost at offset {offset}: {reason}"));
         node.metrics.resumed_streams.inc();
         node.metrics.retries.with_label_values(&[&*request.service]).inc();
+        if matches!(stop, Stop::Leaving) {
+            source = Some((vm.clone(), address));
+        }
         wish.exclude.push(vm);
         wish.avoid = fallback.map(|_| version);
         let pause = if matches!(stop, Stop::Leaving) {
@@ -186,10 +205,9 @@
         .map_err(|error| Stop::Refused(Kind::BadRequest, error.to_string()))?;
     let id = request.headers().get(REQUEST_ID).cloned();
     let mut connection = pool.checkout().await.map_err(|failure| lost(failure.into()))?;
-    let sent = tokio::time::timeout(HEAD_SILENCE, connection.send(request)).await;
-    let response = match sent {
-        Ok(response) => response.map_err(|failure| lost(failure.into()))?,
-        Err(_) => return Err(silent(HEAD_SILENCE)),
+    let response = match patient(&pool, connection.send(request)).await {
+        Some(response) => response.map_err(|failure| lost(failure.into()))?,
+        None => return Err(silent(began.elapsed())),
     };
     let mut lent = Lent::new(pool, connection);
     answer::check_head(&response, id.as_ref()).map_err(lost)?;
@@ -200,11 +218,36 @@
     }
     let seen = |elapsed| *first_byte = first_byte.or(Some(elapsed));
     let start = Start { next: tokens.len() as u64, began };
-    let finish = relay(entry, start, response.into_body(), seen).await?;
+    let finish = relay(entry, &lent.pool, start, response.into_body(), seen).await?;
     lent.release();
     Ok(finish)
 }
 
+/// Waits for the first answer of an engine, which may queue the request, for as long as the engine
+/// itself still answers.
+async fn patient<T>(pool: &Arc<Pool>, work: impl Future<Output = T>) -> Option<T> {
+    let began = Instant::now();
+    tokio::pin!(work);
+    loop {
+        match tokio::time::timeout(SILENCE, &mut work).await {
+            Ok(result) => return Some(result),
+            Err(_) if began.elapsed() >= HEAD_SILENCE || !responds(pool).await => return None,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Tells whether an engine answers a request for its load.
+async fn responds(pool: &Arc<Pool>) -> bool {
+    let request = Request::builder()
+        .uri("/load")
+        .header(header::HOST, pool.address().to_string())
+        .body(Full::default());
+    let Ok(request) = request else { return false };
+    let answer = answer::exchange(pool, request, LOAD_BYTES);
+    matches!(tokio::time::timeout(SILENCE / 2, answer).await, Ok(Ok(_)))
+}
+
 fn silent(limit: Duration) -> Stop {
     Stop::Lost(Trouble::Connection, format!("no byte for {limit:?}"))
 }
@@ -240,6 +283,7 @@
 /// Moves events from the engine to the journal and checks that they are whole and in order.
 async fn relay(
     entry: &Entry,
+    pool: &Arc<Pool>,
     start: Start,
     mut body: Incoming,
     mut seen: impl FnMut(Duration),
@@ -248,12 +292,16 @@
     let mut next = start.next;
     let mut finish = None;
     loop {
-        let limit = if next == start.next { HEAD_SILENCE } else { SILENCE };
-        let bytes = match tokio::time::timeout(limit, body.frame()).await {
-            Err(_) => return Err(silent(limit)),
-            Ok(None) => return Err(broken("the stream ended early")),
-            Ok(Some(Err(error))) => return Err(lost(Fault::Unknown(error.to_string()))),
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_else(|_| Bytes::new()),
+        let frame = if next == start.next {
+            patient(pool, body.frame()).await
+        } else {
+            tokio::time::timeout(SILENCE, body.frame()).await.ok()
+        };
+        let bytes = match frame {
+            None => return Err(silent(SILENCE)),
+            Some(None) => return Err(broken("the stream ended early")),
+            Some(Some(Err(error))) => return Err(lost(Fault::Unknown(error.to_string()))),
+            Some(Some(Ok(frame))) => frame.into_data().unwrap_or_else(|_| Bytes::new()),
         };
         splitter.push(&bytes).map_err(broken)?;
         let read = read_events(&mut splitter, &entry.request.id, next);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The daemon: starts the parts of an entry VM, runs their loops and stops them in order.
 
-mod drain;
+pub mod drain;
 mod moves;
 pub mod node;
 mod peers;
@@ -8,13 +8,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::caller::draft;
 use crate::config::Settings;
 use crate::util::serve;
 use crate::{caller, claim, operator, timeline};
@@ -25,8 +26,6 @@
 const FINISHED_KEEP: Duration = Duration::from_secs(60);
 /// Period in which events are written to the object store.
 const TIMELINE_PERIOD: Duration = Duration::from_secs(2);
-/// Time kept for the last steps of a stop: flushing events and releasing the lease.
-const CLOSING_TIME: Duration = Duration::from_millis(1_500);
 
 /// Runs the daemon until it is told to stop or its VM is reclaimed.
 ///
@@ -40,9 +39,11 @@
     let node = Arc::new(Node::new(settings));
     peers::start(&node).await?;
     let (close, closed) = watch::channel(false);
-    let flush = tokio::spawn(flush_events(node.clone(), closed.clone()));
+    let (end_flush, flush_ended) = watch::channel(false);
+    let flush = tokio::spawn(flush_events(node.clone(), flush_ended));
     let moves = tokio::spawn(moves::run(node.clone()));
     tokio::spawn(vms::follow(node.clone()));
+    tokio::spawn(draft::watch(node.clone()));
     tokio::spawn(peers::measure(node.clone()));
     let bounds = serve::Bounds {
         header_bytes: node.settings.limits.header_bytes,
@@ -55,18 +56,19 @@
     log::info!("daemon: node {} serves callers on {}", node.settings.node, node.settings.callers);
     node.record("daemon", timeline::Subject::default(), "started".to_owned());
 
-    let end = wait_for_stop(&node, &mut signals).await;
+    wait_for_stop(&node, &mut signals).await;
     log::info!("daemon: stopping");
     let stopped = tokio::select! {
-        () = stop(&node, end, close, server) => true,
+        () = stop(&node, close, server) => true,
         () = signals.next() => false,
     };
     if !stopped {
         log::warn!("daemon: a second signal ends the process at once");
         return Ok(());
     }
+    end_flush.send_replace(true);
     let last = futures_util::future::join(flush, moves);
-    let _ = tokio::time::timeout(CLOSING_TIME, last).await;
+    let _ = tokio::time::timeout(drain::CLOSING_TIME, last).await;
     log::info!("daemon: stopped");
     Ok(())
 }
@@ -91,37 +93,29 @@
     }
 }
 
-/// Gives the time by which the process must have ended.
-async fn wait_for_stop(node: &Node, signals: &mut Signals) -> Instant {
+/// Returns once a stop has begun; the node then knows the time by which the process must end.
+async fn wait_for_stop(node: &Node, signals: &mut Signals) {
     let mut reclaimed = node.stop_by.subscribe();
-    let reclaim = async { reclaimed.wait_for(Option::is_some).await.ok().and_then(|end| *end) };
-    let limit = node.settings.timing.shutdown;
     tokio::select! {
-        () = signals.next() => Instant::now() + limit,
-        end = reclaim => end.unwrap_or_else(|| Instant::now() + limit),
+        () = signals.next() => {
+            node.reclaim_in(node.settings.timing.shutdown);
+        }
+        _ = reclaimed.wait_for(Option::is_some) => {}
     }
 }
 
 /// Makes the node unready, lets requests finish or hands them over, and closes the listeners.
-async fn stop(
-    node: &Arc<Node>,
-    end: Instant,
-    close: watch::Sender<bool>,
-    server: tokio::task::JoinHandle<()>,
-) {
+async fn stop(node: &Arc<Node>, close: watch::Sender<bool>, server: tokio::task::JoinHandle<()>) {
     node.stopping.send_replace(true);
     node.record("daemon", timeline::Subject::default(), "stopping".to_owned());
     if let Some(network) = node.network.get() {
         network.announce_leaving().await;
     }
-    let end = end.checked_sub(CLOSING_TIME).unwrap_or(end);
-    drain::run(node, end).await;
-    node.timeline.close(claim::keeper::unix_ms());
+    drain::wait(node).await;
     close.send_replace(true);
     // Plain requests and the last bytes of streams still need their connections.
-    if tokio::time::timeout_at(end.into(), server).await.is_err() {
-        log::warn!("daemon: requests were still in flight at the shutdown limit");
-    }
+    drain::release(node, server).await;
+    node.timeline.close(claim::keeper::unix_ms());
 }
 
 async fn flush_events(node: Arc<Node>, mut closed: watch::Receiver<bool>) {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,7 +1,7 @@
 //! State that the parts of one daemon share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,10 @@
     pub vms: watch::Sender<Arc<Vec<Vm>>>,
     /// Ids of endpoint VMs that must not get new work and whose streams move away.
     pub leaving: watch::Sender<Arc<Vec<Arc<str>>>>,
+    /// Times at which endpoint VMs with a reclaim notice are gone.
+    pub gone_at: Mutex<HashMap<Arc<str>, Instant>>,
+    /// Counts answers of drafts that are not yet in the object store.
+    pub storing: AtomicUsize,
     /// Turns true when a planned stop begins.
     pub stopping: watch::Sender<bool>,
     /// Set when the platform reclaims this VM: the time at which it is gone.
@@ -68,6 +72,8 @@
             random: Mutex::new(StdRng::seed_from_u64(rand::random())),
             vms: watch::Sender::new(Arc::default()),
             leaving: watch::Sender::new(Arc::default()),
+            gone_at: Mutex::default(),
+            storing: AtomicUsize::new(0),
             stopping: watch::Sender::new(false),
             stop_by: watch::Sender::new(None),
             policy: retry::Policy::default(),
@@ -123,6 +129,12 @@
         self.leaving.borrow().iter().any(|id| **id == *vm)
     }
 
+    /// Gives the time until an endpoint VM is gone; zero when that is not known.
+    pub fn time_left(&self, vm: &str) -> Duration {
+        let end = lock(&self.gone_at).get(vm).copied();
+        end.map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()))
+    }
+
     /// Lists the members of the cluster; empty before the network has started.
     pub fn members(&self) -> Vec<crate::membership::Member> {
         self.network.get().map(|network| network.members()).unwrap_or_default()
--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -1,8 +1,8 @@
 //! Follows the platform's list of VMs and its reclaim notices.
 
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
 
 use super::Node;
 use crate::platform::{Notice, Vm};
@@ -12,16 +12,29 @@
 /// Relative price of a VM by kind; the platform's list carries no price.
 const RECLAIMABLE_COST: u32 = 1;
 const ON_DEMAND_COST: u32 = 3;
+/// Time for which a VM that is gone counts as leaving, since the list lags behind.
+const GONE_KEEP: Duration = Duration::from_secs(60);
 
 /// Polls the list and the notices until the process ends.
 pub async fn follow(node: Arc<Node>) {
+    // A slow list must not delay a notice, which leaves only a few seconds.
+    futures_util::future::join(follow_notices(&node), follow_list(&node)).await;
+}
+
+async fn follow_notices(node: &Arc<Node>) {
     loop {
         match node.client.notices().await {
-            Ok(notices) => take_notices(&node, &notices),
+            Ok(notices) => take_notices(node, &notices),
             Err(error) => log::debug!("vms: the notices could not be read: {error}"),
         }
+        tokio::time::sleep(node.settings.timing.vm_poll).await;
+    }
+}
+
+async fn follow_list(node: &Arc<Node>) {
+    loop {
         match node.client.vms().await {
-            Ok(vms) => take_vms(&node, vms),
+            Ok(vms) => take_vms(node, vms),
             Err(error) => log::debug!("vms: the VM list could not be read: {error}"),
         }
         tokio::time::sleep(node.settings.timing.vm_poll).await;
@@ -30,12 +43,16 @@
 
 fn take_notices(node: &Arc<Node>, notices: &[Notice]) {
     for notice in notices {
+        let left = Duration::from_millis(notice.left_ms);
         if notice.vm == node.settings.node {
-            if !node.is_stopping() {
+            // A later notice can leave less time than the first one, or than a stop under way.
+            if node.reclaim_in(left) {
                 log::warn!("vms: this VM is reclaimed in {} ms", notice.left_ms);
-                node.reclaim_in(Duration::from_millis(notice.left_ms));
             }
         } else {
+            let mut gone_at = node.gone_at.lock().unwrap_or_else(PoisonError::into_inner);
+            gone_at.insert(notice.vm.clone(), Instant::now() + left);
+            drop(gone_at);
             leave(node, &notice.vm, "reclaim notice");
         }
     }
@@ -46,8 +63,9 @@
         leave(node, &vm.id, "listed as leaving");
     }
     node.directory.retain(|address| vms.iter().any(|vm| vm.address == address));
+    forget(node, &vms);
     let mut pools: HashMap<Arc<str>, Vec<routing::Endpoint>> = HashMap::new();
-    for vm in vms.iter().filter(|vm| !vm.pool.is_empty() && !vm.leaving) {
+    for vm in vms.iter().filter(|vm| !vm.pool.is_empty() && !node.is_leaving(&vm.id)) {
         pools.entry(vm.pool.clone()).or_default().push(endpoint(vm));
     }
     let now = node.now();
@@ -67,6 +85,25 @@
     });
 }
 
+/// Forgets VMs that are gone, so that the lists of leaving VMs stay small.
+fn forget(node: &Node, vms: &[Vm]) {
+    let now = Instant::now();
+    let mut gone_at = node.gone_at.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_kept = |id: &Arc<str>, end: Option<&Instant>| {
+        end.is_some_and(|end| *end + GONE_KEEP > now) || vms.iter().any(|vm| vm.id == *id)
+    };
+    node.leaving.send_if_modified(|leaving| {
+        let kept: Vec<_> =
+            leaving.iter().filter(|id| is_kept(id, gone_at.get(*id))).cloned().collect();
+        let changed = kept.len() != leaving.len();
+        if changed {
+            *leaving = Arc::new(kept);
+        }
+        changed
+    });
+    gone_at.retain(|id, end| is_kept(id, Some(end)));
+}
+
 /// Stops new work to an endpoint and makes its streams move away.
 fn leave(node: &Arc<Node>, vm: &Arc<str>, reason: &str) {
     if node.is_leaving(vm) {
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -12,7 +12,9 @@
     pub tokens: IntCounter,
     pub recomputed_tokens: IntCounter,
     pub resumed_streams: IntCounter,
+    pub moved_states: IntCounter,
     pub handed_over: IntCounter,
+    pub copies: IntCounterVec,
     pub in_flight: IntGauge,
     pub revision: IntGauge,
     pub members_alive: IntGauge,
@@ -48,6 +50,17 @@
                 "pomelolink_resumed_streams_total",
                 "Streams resumed on another endpoint.",
             ),
+            moved_states: counter(
+                &registry,
+                "pomelolink_moved_states_total",
+                "Cached states of streams moved from a leaving endpoint to the next.",
+            ),
+            copies: counters(
+                &registry,
+                "pomelolink_copies_total",
+                "Copies of accepted streams sent to another entry VM, by result.",
+                &["result"],
+            ),
             handed_over: counter(
                 &registry,
                 "pomelolink_handed_over_total",
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -5,6 +5,7 @@
 
 pub mod journal;
 pub mod remote;
+pub mod state;
 
 use std::sync::Arc;
 
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -1,7 +1,7 @@
 //! Journal of the streams that this node carries.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     /// Counts changes, so that readers wake up.
     changes: watch::Sender<u64>,
     readers: AtomicUsize,
+    /// Highest offset from which a caller wanted to read.
+    wanted: AtomicU64,
 }
 
 /// Reads one stream from an offset on; while a reader exists, the stream counts as wanted.
@@ -82,6 +84,7 @@
             progress: Mutex::new(Progress { tokens, ..Progress::default() }),
             changes: watch::Sender::new(0),
             readers: AtomicUsize::new(0),
+            wanted: AtomicU64::new(0),
             request,
         });
         entries.insert(entry.request.id.clone(), entry.clone());
@@ -92,6 +95,12 @@
         self.lock().get(id).cloned()
     }
 
+    /// Tells whether there is room for a copy of another node's stream. Copies fill half of the
+    /// journal at most, so that they never keep this node from accepting requests.
+    pub fn has_room_for_copy(&self) -> bool {
+        self.len() < self.limit / 2
+    }
+
     pub fn remove(&self, id: &str) {
         self.lock().remove(id);
     }
@@ -104,6 +113,14 @@
         carried.cloned().collect()
     }
 
+    /// Lists the streams that this node follows for its callers.
+    pub fn mirrored(&self) -> Vec<Arc<Entry>> {
+        let entries = self.lock();
+        let mirrored =
+            entries.values().filter(|entry| entry.finish().is_none() && entry.is_mirrored());
+        mirrored.cloned().collect()
+    }
+
     pub fn len(&self) -> usize {
         self.lock().len()
     }
@@ -119,12 +136,11 @@
                 let progress = entry.lock();
                 (progress.ended, progress.mode)
             };
-            let end = match (ended, mode) {
-                (Some(ended), _) => ended,
-                (None, Mode::Carry) => return true,
-                (None, _) => entry.deadline(),
-            };
-            now.saturating_duration_since(end) < keep
+            match (ended, mode) {
+                (Some(ended), _) => now.saturating_duration_since(ended) < keep,
+                (None, Mode::Carry) => true,
+                (None, _) => now < entry.deadline(),
+            }
         });
     }
 
@@ -212,6 +228,10 @@
         self.lock().mode == Mode::Carry
     }
 
+    pub fn is_mirrored(&self) -> bool {
+        self.lock().mode == Mode::Mirror
+    }
+
     /// Waits until the stream has been handed over.
     pub async fn detached(&self) {
         let mut changes = self.changes.subscribe();
@@ -248,9 +268,15 @@
     /// Attaches a reader.
     pub fn reader(self: &Arc<Entry>, offset: u64) -> Reader {
         self.readers.fetch_add(1, Ordering::Relaxed);
+        self.wanted.fetch_max(offset, Ordering::Relaxed);
         Reader { entry: self.clone(), offset }
     }
 
+    /// Counts the tokens that a caller has seen but this node lacks, and so would compute again.
+    pub fn missing(&self) -> u64 {
+        self.wanted.load(Ordering::Relaxed).saturating_sub(self.offset())
+    }
+
     /// Tells how long no caller has read from the stream.
     pub fn unread_for(&self, now: Instant) -> Duration {
         if self.readers.load(Ordering::Relaxed) > 0 {
--- a/src/stream/remote.rs
+++ b/src/stream/remote.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3;
 
 use super::{Entry, Finish, Request, owner};
-use crate::caller::pump;
+use crate::caller::{draft, pump};
 use crate::daemon::Node;
 use crate::error::{Error, Kind, Result};
 use crate::membership::{Member, Status};
@@ -21,10 +21,17 @@
 /// Time for which a node holds a fetch open while there is nothing new.
 const LONG_POLL: Duration = Duration::from_millis(300);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(900);
-/// Fetches that fail in a row before another carrier is looked for.
-const FETCHES: u32 = 2;
-/// Peers asked for a stream besides its owner.
+/// Searches without a carrier before a mirror carries the stream on. The pauses between them are
+/// longer than a hand-over takes, during which no node carries the stream.
+const SEARCHES: u32 = 3;
+const SEARCH_PAUSE: Duration = Duration::from_millis(100);
+/// Peers asked for a stream at once, besides its owner.
 const PEERS_ASKED: usize = 3;
+/// Offset in a fetch that asks for the state of a stream without its tokens.
+const STATE_ONLY: u64 = u64::MAX;
+/// Groups of peers asked one after the other. A stream that was handed over more than once can be
+/// at a node that its owner would not have chosen first.
+const GROUPS: usize = 4;
 
 /// Holds a stream as one node sends it to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +45,8 @@
     pub left_ms: u64,
     /// Tells whether the sender carries the stream itself.
     pub carried: bool,
+    /// Tells whether the sender has handed the stream over.
+    pub moved: bool,
 }
 
 /// Encodes a whole stream.
@@ -53,6 +62,7 @@
     Snapshot {
         left_ms: request.deadline_ms,
         carried: entry.is_carried(),
+        moved: part.moved,
         tokens: part.tokens,
         finish: part.finish,
         request,
@@ -65,12 +75,15 @@
     let Ok(snapshot) = postcard::from_bytes::<Snapshot>(bytes) else {
         return Reply::Refused("the stream can't be read".into());
     };
-    if carry && node.is_stopping() {
+    if node.is_stopping() {
         return Reply::Refused("this node is stopping too".into());
     }
     let id = snapshot.request.id.clone();
     let entry = match node.journal.get(&id) {
         Some(entry) => entry,
+        None if !carry && !node.journal.has_room_for_copy() => {
+            return Reply::Refused("the journal has no room for copies".into());
+        }
         None => match node.journal.open(snapshot.request, Vec::new()) {
             Some(entry) => entry,
             None => return Reply::Refused("the journal is full".into()),
@@ -79,25 +92,42 @@
     entry.extend_to(snapshot.offset, snapshot.tokens);
     if let Some(finish) = snapshot.finish {
         entry.close(finish);
-    } else if carry && entry.start_carrying() {
-        let text = format!("stream taken over at offset {}", entry.offset());
-        log::info!("stream: {id} taken over at offset {}", entry.offset());
-        node.record("stream", Subject { request: Some(id), ..Subject::default() }, text);
-        tokio::spawn(pump::carry(node.clone(), entry));
+    } else if carry {
+        let node = node.clone();
+        tokio::spawn(async move { take_over(&node, &entry).await });
     }
     Reply::Done
 }
 
+/// Carries a stream on from the offset that this node holds; gives false when another node has
+/// taken it over.
+pub async fn take_over(node: &Arc<Node>, entry: &Arc<Entry>) -> bool {
+    let id = &entry.request.id;
+    if entry.request.draft && !draft::claim(node, entry).await {
+        log::info!("stream: draft {id} is carried by another node");
+        return false;
+    }
+    if !entry.start_carrying() {
+        return entry.is_carried() || entry.finish().is_some();
+    }
+    let (offset, missing) = (entry.offset(), entry.missing());
+    log::info!("stream: {id} taken over at offset {offset}");
+    node.metrics.recomputed_tokens.inc_by(missing);
+    let subject = Subject { request: Some(id.clone()), ..Subject::default() };
+    node.record("stream", subject, format!("stream taken over at offset {offset}"));
+    tokio::spawn(pump::carry(node.clone(), entry.clone()));
+    true
+}
+
 /// Answers a fetch of another node; waits a bounded time for something new.
 pub async fn serve(node: &Node, id: &str, offset: u64) -> Reply {
     let Some(entry) = node.journal.get(id) else {
         return Reply::Refused("the stream is not known here".into());
     };
-    let reader = entry.reader(offset);
-    if entry.is_carried() {
+    if entry.is_carried() && offset != STATE_ONLY {
+        let _reader = entry.reader(offset);
         let _ = tokio::time::timeout(LONG_POLL, entry.read(offset)).await;
     }
-    drop(reader);
     match postcard::to_allocvec(&take(&entry, offset)) {
         Ok(bytes) => Reply::Payload(bytes),
         Err(error) => Reply::Refused(error.to_string().into()),
@@ -110,64 +140,119 @@
 ///
 /// Fails with `StreamGone` when neither the owner nor the peers that may hold a copy know it.
 pub async fn find(node: &Arc<Node>, id: &str) -> Result<Arc<Entry>> {
-    if let Some(entry) = node.journal.get(id) {
-        if !entry.is_carried() && entry.finish().is_none() && entry.start_mirroring() {
-            tokio::spawn(mirror(node.clone(), entry.clone()));
-        }
-        return Ok(entry);
-    }
-    for member in candidates(node, id) {
-        let Some(snapshot) = fetch(node, &member, id, 0).await else { continue };
-        let Some(entry) = node.journal.open(snapshot.request.clone(), Vec::new()) else { break };
+    if node.journal.get(id).is_none()
+        && let Some((_, snapshot)) = search(node, id, 0).await
+        && let Some(entry) = node.journal.open(snapshot.request.clone(), Vec::new())
+    {
         entry.extend_to(0, snapshot.tokens);
         if let Some(finish) = snapshot.finish {
             entry.close(finish);
-        } else if entry.start_mirroring() {
-            tokio::spawn(mirror(node.clone(), entry.clone()));
         }
-        return Ok(entry);
     }
-    match node.journal.get(id) {
-        Some(entry) => Ok(entry),
-        None => Err(Error::new(Kind::StreamGone, "the stream is not known any more")),
+    let Some(entry) = node.journal.get(id) else {
+        return Err(Error::new(Kind::StreamGone, "the stream is not known any more"));
+    };
+    if entry.start_mirroring() {
+        tokio::spawn(mirror(node.clone(), entry.clone()));
     }
+    Ok(entry)
 }
 
 /// Follows the node that carries a stream; carries it on when there is none.
 async fn mirror(node: Arc<Node>, entry: Arc<Entry>) {
-    let id = entry.request.id.clone();
+    let id = &entry.request.id;
+    let mut carrier: Option<Member> = None;
     let mut failures = 0;
-    while entry.finish().is_none() && !entry.is_carried() {
-        let mut followed = false;
-        for member in candidates(&node, &id) {
-            let Some(snapshot) = fetch(&node, &member, &id, entry.offset()).await else { continue };
+    while entry.finish().is_none() && entry.is_mirrored() {
+        let found = match carrier.take() {
+            Some(member) => fetch(&node, &member, id, entry.offset()).await,
+            None => search(&node, id, entry.offset()).await,
+        };
+        if let Some((member, snapshot)) = found {
             entry.extend_to(snapshot.offset, snapshot.tokens);
             if let Some(finish) = snapshot.finish {
                 entry.close(finish);
                 return;
             }
             if snapshot.carried {
-                followed = true;
-                break;
+                carrier = Some(member);
+                failures = 0;
+                continue;
             }
         }
-        failures = if followed { 0 } else { failures + 1 };
-        if failures >= FETCHES && entry.start_carrying() {
-            let offset = entry.offset();
-            log::info!("stream: nobody carries {id}; going on at offset {offset}");
-            let subject = Subject { request: Some(id), ..Subject::default() };
-            node.record("stream", subject, format!("stream carried on at offset {offset}"));
-            pump::carry(node, entry).await;
+        failures += 1;
+        if failures < SEARCHES {
+            tokio::time::sleep(SEARCH_PAUSE).await;
+        } else if node.is_stopping() {
+            // The caller resumes at a node that stays.
+            return entry.detach();
+        } else if take_over(&node, &entry).await {
             return;
+        } else {
+            failures = 0;
+            tokio::time::sleep(SEARCH_PAUSE).await;
+        }
+    }
+}
+
+/// Reads a stream that was handed over to its end, for a caller that waits for the whole answer;
+/// gives `None` when that takes longer than until `end`.
+pub async fn follow(
+    node: &Arc<Node>,
+    entry: &Entry,
+    end: Instant,
+) -> Option<(Vec<Arc<str>>, Finish)> {
+    let mut tokens = entry.tokens();
+    while Instant::now() < end {
+        let offset = tokens.len() as u64;
+        let found = tokio::time::timeout_at(end.into(), search(node, &entry.request.id, offset));
+        if let Some((_, snapshot)) = found.await.ok()? {
+            tokens.extend(snapshot.tokens);
+            if let Some(finish) = snapshot.finish {
+                return Some((tokens, finish));
+            }
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
+    }
+    None
+}
+
+/// Asks the nodes that most likely know a stream, then some more, and gives the best answer: an
+/// ended stream, or else one that is carried, or else the longest copy.
+pub async fn search(node: &Node, id: &str, offset: u64) -> Option<(Member, Snapshot)> {
+    let members = candidates(node, id);
+    for group in members.chunks(1 + PEERS_ASKED).take(GROUPS) {
+        let asked = group.iter().map(|member| fetch(node, member, id, offset));
+        let answers = futures_util::future::join_all(asked).await.into_iter().flatten();
+        let best = answers.max_by_key(|(_, snapshot)| {
+            (snapshot.finish.is_some(), snapshot.carried, snapshot.tokens.len())
+        });
+        if best.is_some() {
+            return best;
+        }
+    }
+    None
+}
+
+/// Tells whether a member holds a draft and has not handed it over; `None` when it doesn't answer.
+pub async fn is_held_at(node: &Node, member: &Member, id: &str) -> Option<bool> {
+    let request = peer::Request::FetchStream { id: id.into(), offset: STATE_ONLY };
+    let network = node.network.get()?;
+    match network.request(member.address, request, FETCH_TIMEOUT).await {
+        Ok(Reply::Payload(bytes)) => {
+            let snapshot: Snapshot = postcard::from_bytes(&bytes).ok()?;
+            Some(!snapshot.moved)
         }
+        Ok(_) => Some(false),
+        Err(_) => None,
     }
 }
 
-async fn fetch(node: &Node, member: &Member, id: &str, offset: u64) -> Option<Snapshot> {
+async fn fetch(node: &Node, member: &Member, id: &str, offset: u64) -> Option<(Member, Snapshot)> {
     let request = peer::Request::FetchStream { id: id.into(), offset };
     let network = node.network.get()?;
     match network.request(member.address, request, FETCH_TIMEOUT).await {
-        Ok(Reply::Payload(bytes)) => postcard::from_bytes(&bytes).ok(),
+        Ok(Reply::Payload(bytes)) => Some((member.clone(), postcard::from_bytes(&bytes).ok()?)),
         Ok(_) => None,
         Err(error) => {
             log::debug!("stream: {} did not answer for {id}: {error}", member.node);
@@ -176,7 +261,7 @@
     }
 }
 
-/// Lists who may know a stream: its owner first, then the peers that the owner would choose.
+/// Orders who may know a stream: its owner first, then the peers that the owner would choose.
 fn candidates(node: &Node, id: &str) -> Vec<Member> {
     let owner = owner(id).unwrap_or_default();
     let mut members = node.members();
@@ -187,7 +272,6 @@
         let same_domain = Some(&member.failure_domain) == domain.as_ref();
         (*member.node != *owner, same_domain, rank(id, &member.node))
     });
-    members.truncate(1 + PEERS_ASKED);
     members
 }
 
