Merge copied tokens atomically and place lost copies again

Cause: two copies of one stream that arrived at the same time, or a copy that arrived at the node that carries the stream, added the same tokens twice; the draft test saw a repeated run of three tokens. A stream was lost when the peer that held its copy died before its entry VM (410 stream_gone in killed_entry_loses_no_stream). A node that had not yet heard of a draft's owner, or took it for dead under load, carried the draft a second time.

Change: merge takes tokens and end under one lock and never on a carried stream; copies are tried again for about six seconds, and placed again when their holder dies or leaves or when the stream changes its node; an owner that answers counts as alive.

--- a/src/caller/draft.rs
+++ b/src/caller/draft.rs
@@ -33,6 +33,8 @@
 const STORE_ATTEMPTS: u32 = 1_200;
 /// Period in which a node looks for members that have died.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
+/// Time after its start by which a node has heard of all members.
+const MEMBERS_KNOWN: Duration = Duration::from_secs(10);
 /// Nodes that look for the drafts of one dead member; one would do, but it can die as well.
 const RESCUERS: usize = 3;
 
@@ -273,11 +275,15 @@
 }
 
 /// Tells whether a node carries a draft. A node that doesn't answer counts as carrying it until the
-/// membership finds it dead, since two carriers do the work twice.
+/// membership finds it dead, since two carriers do the work twice; one that answers is not dead,
+/// whatever the membership says.
 async fn is_carried_at(node: &Node, owner: &str, id: &str) -> bool {
     let member = node.members().into_iter().find(|member| *member.node == *owner);
-    let Some(member) = member.filter(|member| member.status != Status::Dead) else { return false };
-    remote::is_held_at(node, &member, id).await.unwrap_or(true)
+    let Some(member) = member else { return node.now() < MEMBERS_KNOWN };
+    match remote::is_held_at(node, &member, id).await {
+        Some(held) => held,
+        None => member.status != Status::Dead,
+    }
 }
 
 /// Takes a draft over if nobody carries it.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -44,6 +44,7 @@
     let moves = tokio::spawn(moves::run(node.clone()));
     tokio::spawn(vms::follow(node.clone()));
     tokio::spawn(draft::watch(node.clone()));
+    tokio::spawn(drain::keep_copies(node.clone()));
     tokio::spawn(peers::measure(node.clone()));
     let bounds = serve::Bounds {
         header_bytes: node.settings.limits.header_bytes,
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -22,6 +22,12 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Peers tried for one stream.
 const PEERS_TRIED: usize = 4;
+/// Attempts to place a copy, over about six seconds: a node that has just started knows no peers
+/// yet, and one whose peers have just died does not know that.
+const COPY_ATTEMPTS: u32 = 6;
+const COPY_PAUSE: Duration = Duration::from_millis(100);
+/// Period in which a node looks for copies that were lost with a peer.
+const COPY_CHECK: Duration = Duration::from_millis(500);
 /// Streams sent to peers at a time; each needs a connection while it is sent.
 const AT_A_TIME: usize = 32;
 const POLL: Duration = Duration::from_millis(20);
@@ -119,10 +125,50 @@
 
 /// Sends a copy of a stream to a peer, outside the own failure domain if there is one.
 pub async fn copy(node: &Arc<Node>, entry: &Entry) {
-    let snapshot = stream::remote::snapshot(entry);
-    let sent = send(node, entry, Request::Copy(snapshot)).await;
-    let result = if sent.is_some() { "held" } else { "refused" };
-    node.metrics.copies.with_label_values(&[result]).inc();
+    let mut pause = COPY_PAUSE;
+    for _ in 0..COPY_ATTEMPTS {
+        if !entry.is_carried() || entry.finish().is_some() {
+            return;
+        }
+        let snapshot = stream::remote::snapshot(entry);
+        let sent = send(node, entry, Request::Copy(snapshot)).await;
+        let result = if sent.is_some() { "held" } else { "refused" };
+        node.metrics.copies.with_label_values(&[result]).inc();
+        if sent.is_some() {
+            return entry.set_holder(sent);
+        }
+        tokio::time::sleep(pause).await;
+        pause *= 2;
+    }
+}
+
+/// Copies streams again whose copy was at a peer that has died or is about to stop.
+pub async fn keep_copies(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(COPY_CHECK).await;
+        if node.is_stopping() {
+            return;
+        }
+        let members = node.members();
+        let is_lost = |entry: &Arc<Entry>| {
+            let Some(holder) = entry.holder() else { return false };
+            !members.iter().any(|one| one.node == holder && one.status == Status::Alive)
+        };
+        let mut lost = node.journal.unfinished();
+        lost.retain(is_lost);
+        if lost.is_empty() {
+            continue;
+        }
+        log::info!("drain: {} streams have lost their copy", lost.len());
+        let copies = lost.into_iter().map(|entry| {
+            let node = node.clone();
+            async move {
+                entry.set_holder(None);
+                copy(&node, &entry).await;
+            }
+        });
+        futures_util::stream::iter(copies).buffer_unordered(AT_A_TIME).count().await;
+    }
 }
 
 async fn hand_over_one(node: &Arc<Node>, entry: &Arc<Entry>) -> bool {
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -38,6 +38,8 @@
 
 #[derive(Debug, Default)]
 struct Progress {
+    /// Peer that holds a copy.
+    holder: Option<Arc<str>>,
     tokens: Vec<Arc<str>>,
     finish: Option<Finish>,
     ended: Option<Instant>,
@@ -195,16 +197,25 @@
         }
     }
 
-    /// Adds what goes beyond the tokens held so far; tokens that leave a gap are ignored.
-    pub fn extend_to(&self, offset: u64, tokens: Vec<Arc<str>>) {
-        let held = self.offset();
-        if let Some(known) = held.checked_sub(offset).and_then(|known| usize::try_from(known).ok())
-        {
-            let new: Vec<_> = tokens.into_iter().skip(known).collect();
-            if !new.is_empty() {
-                self.push(new);
-            }
+    /// Takes what another node holds of the stream from an offset on: tokens beyond those held so
+    /// far, and the end if no token before it is missing. Nothing is taken for a stream that this
+    /// node carries, because only its pump adds to it.
+    pub fn merge(&self, offset: u64, tokens: Vec<Arc<str>>, finish: Option<Finish>) {
+        let mut progress = self.lock();
+        if progress.finish.is_some() || !matches!(progress.mode, Mode::Copy | Mode::Mirror) {
+            return;
+        }
+        let held = progress.tokens.len() as u64;
+        let end = offset + tokens.len() as u64;
+        let Some(known) = held.checked_sub(offset) else { return };
+        let known = usize::try_from(known).unwrap_or(usize::MAX);
+        progress.tokens.extend(tokens.into_iter().skip(known));
+        if finish.is_some() && progress.tokens.len() as u64 == end {
+            progress.finish = finish;
+            progress.ended = Some(Instant::now());
         }
+        drop(progress);
+        self.wake();
     }
 
     /// Makes this node the carrier; tells whether it was not yet.
@@ -240,6 +251,15 @@
         }
     }
 
+    /// Notes which peer holds a copy; `None` when there is none any more.
+    pub fn set_holder(&self, peer: Option<Arc<str>>) {
+        self.lock().holder = peer;
+    }
+
+    pub fn holder(&self) -> Option<Arc<str>> {
+        self.lock().holder.clone()
+    }
+
     fn enter(&self, mode: Mode, from: impl Fn(Mode) -> bool) -> bool {
         let mut progress = self.lock();
         let allowed = progress.finish.is_none() && progress.mode != mode && from(progress.mode);
--- a/src/stream/remote.rs
+++ b/src/stream/remote.rs
@@ -12,7 +12,7 @@
 
 use super::{Entry, Finish, Request, owner};
 use crate::caller::{draft, pump};
-use crate::daemon::Node;
+use crate::daemon::{Node, drain};
 use crate::error::{Error, Kind, Result};
 use crate::membership::{Member, Status};
 use crate::peer::{self, Reply};
@@ -89,10 +89,9 @@
             None => return Reply::Refused("the journal is full".into()),
         },
     };
-    entry.extend_to(snapshot.offset, snapshot.tokens);
-    if let Some(finish) = snapshot.finish {
-        entry.close(finish);
-    } else if carry {
+    let ended = snapshot.finish.is_some();
+    entry.merge(snapshot.offset, snapshot.tokens, snapshot.finish);
+    if carry && !ended {
         let node = node.clone();
         tokio::spawn(async move { take_over(&node, &entry).await });
     }
@@ -116,6 +115,10 @@
     let subject = Subject { request: Some(id.clone()), ..Subject::default() };
     node.record("stream", subject, format!("stream taken over at offset {offset}"));
     tokio::spawn(pump::carry(node.clone(), entry.clone()));
+    // The node that held the copy may now be the one that carries the stream, so that it would die
+    // with the next node.
+    let (node, entry) = (node.clone(), entry.clone());
+    tokio::spawn(async move { drain::copy(&node, &entry).await });
     true
 }
 
@@ -144,10 +147,7 @@
         && let Some((_, snapshot)) = search(node, id, 0).await
         && let Some(entry) = node.journal.open(snapshot.request.clone(), Vec::new())
     {
-        entry.extend_to(0, snapshot.tokens);
-        if let Some(finish) = snapshot.finish {
-            entry.close(finish);
-        }
+        entry.merge(0, snapshot.tokens, snapshot.finish);
     }
     let Some(entry) = node.journal.get(id) else {
         return Err(Error::new(Kind::StreamGone, "the stream is not known any more"));
@@ -169,11 +169,7 @@
             None => search(&node, id, entry.offset()).await,
         };
         if let Some((member, snapshot)) = found {
-            entry.extend_to(snapshot.offset, snapshot.tokens);
-            if let Some(finish) = snapshot.finish {
-                entry.close(finish);
-                return;
-            }
+            entry.merge(snapshot.offset, snapshot.tokens, snapshot.finish);
             if snapshot.carried {
                 carrier = Some(member);
                 failures = 0;
