--- a/tests/callers/mod.rs
+++ b/tests/callers/mod.rs
@@ -125,8 +125,9 @@
     pub resumes: usize,
     /// Connections that broke before the answer had begun, so that nothing was accepted.
     pub resent: usize,
-    /// Longest time without a token after the first one.
+    /// Longest time without a token after the first one, resumes included.
     pub stall: Duration,
+    at: Option<Instant>,
     pub visited: Vec<SocketAddr>,
 }
 
@@ -212,7 +213,6 @@
         return Err(format!("refused with {status}: {} {seen:?}", refusal.text()));
     }
     let mut buffer = Vec::new();
-    let mut at = Instant::now();
     loop {
         match answer.next().await {
             Ok(Some(data)) => buffer.extend_from_slice(&data),
@@ -228,10 +228,9 @@
                 return Ok(End::Done);
             }
             if seen.next != before {
-                if before > 0 {
-                    seen.stall = seen.stall.max(at.elapsed());
-                }
-                at = Instant::now();
+                let stall = seen.at.map_or(Duration::ZERO, |at| at.elapsed());
+                seen.stall = seen.stall.max(stall);
+                seen.at = Some(Instant::now());
             }
         }
     }
