Let the head of a moved answer reach its caller

Cause: the body of a stream that was handed over before its first token failed at once, and the server then discarded the head and the id to resume with; a caller saw its connection close without an answer (1 of 1,400 in reclaims_lose_no_stream).

Change: the body waits one poll before it fails, so that the head is written.

--- a/src/caller/event.rs
+++ b/src/caller/event.rs
@@ -121,6 +121,9 @@
             let offset = reader.offset();
             let part = reader.next().await;
             if part.moved && part.tokens.is_empty() && part.finish.is_none() {
+                // An error discards what is not yet written, and the head of the answer with the id
+                // to resume with may be part of that. Pending once lets the server write it.
+                tokio::task::yield_now().await;
                 let moved = std::io::Error::other("the stream goes on at another entry VM");
                 return Some((Err(moved), (reader, encoder, None, true)));
             }
