Wake a request that the admission gate admits at once

A request that waited for admission until the shutdown limit was cut as well.

Change: the sender is stored before the gate is asked who may start; a request that still waits when it is time to hand streams over is refused as stopping, not run.

--- a/src/caller/admit.rs
+++ b/src/caller/admit.rs
@@ -66,17 +66,18 @@
         let clock = tokio::time::Instant::now() - now;
         let answer = {
             let mut inner = self.lock();
+            let (sender, answer) = oneshot::channel();
             let verdict = inner.gate.arrive(now, id, ask);
+            if verdict == Verdict::Wait {
+                // The gate may admit the request in the next step already.
+                inner.waiting.insert(id, sender);
+            }
             let actions = inner.gate.ready(now);
             inner.carry_out(actions);
             match verdict {
                 Verdict::Admit => return Ok(self.permit(id, clock)),
                 Verdict::Refuse(kind) => return Err(refusal(kind)),
-                Verdict::Wait => {
-                    let (sender, answer) = oneshot::channel();
-                    inner.waiting.insert(id, sender);
-                    answer
-                }
+                Verdict::Wait => answer,
             }
         };
         // From here on a dropped future must give its place back.
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -75,7 +75,12 @@
 ) -> Result<(admit::Permit, stream::Request)> {
     let name: Arc<str> = head.model.as_str().into();
     let work = head.max_tokens.unwrap_or(EXPECTED_TOKENS);
-    let permit = context.admit(node, &name, service, work).await?;
+    let permit = tokio::select! {
+        permit = context.admit(node, &name, service, work) => permit?,
+        () = drain::too_late(node) => {
+            return Err(Error::new(Kind::Stopping, "this entry VM is shutting down"));
+        }
+    };
     let left = context.deadline(service.deadline_ms).saturating_duration_since(Instant::now());
     let request = stream::Request {
         id: context.id.clone(),
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -77,6 +77,17 @@
     }
 }
 
+/// Waits until a planned stop leaves no time to begin a request that has arrived.
+pub async fn too_late(node: &Node) {
+    let mut stopping = node.stopping.subscribe();
+    if stopping.wait_for(|stopping| *stopping).await.is_err() {
+        return;
+    }
+    while Instant::now() < node.hand_over_at() {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 /// Hands over what has not ended, until the given task, which serves the callers, has ended or the
 /// time is up. Requests that had arrived before the stop can still turn into streams.
 pub async fn release(node: &Arc<Node>, mut server: tokio::task::JoinHandle<()>) {
--- a/tests/callers/mod.rs
+++ b/tests/callers/mod.rs
@@ -191,6 +191,7 @@
     let mut headers = vec![("authorization", bearer.as_str())];
     headers.extend(last.iter().map(|last| ("last-event-id", last.as_str())));
     let sent = if last.is_some() { "" } else { body };
+    let began = Instant::now();
     let opened = client::open(entry, "POST", CHAT, &headers, sent.to_owned()).await;
     let mut answer = match opened {
         Ok(answer) => answer,
@@ -198,7 +199,11 @@
             entries.avoid(entry);
             return Ok(End::Elsewhere);
         }
-        Err(_) => return Ok(if last.is_some() { End::Elsewhere } else { End::NoHead }),
+        Err(_) if last.is_some() => return Ok(End::Elsewhere),
+        Err(error) => {
+            println!("no answer from {entry} after {:?}: {error:?}", began.elapsed());
+            return Ok(End::NoHead);
+        }
     };
     if answer.status != 200 {
         let status = answer.status;
