Apply a changed in-flight limit of a service

Cause: the gate of a service kept the declared limit of its first request until the daemon ended. Change: the limit in effect is the lower one of the declaration and of what the endpoints can take, set with each request. Result: read-through; the tests of the path and of overload cover the limit, none covers the change.

--- a/src/caller/admit.rs
+++ b/src/caller/admit.rs
@@ -96,11 +96,12 @@
     pub fn door(&self, service: &Arc<str>, in_flight: u32, limit: u32) -> Arc<Door> {
         let mut doors = self.doors.lock().unwrap_or_else(PoisonError::into_inner);
         let door = doors.entry(service.clone()).or_insert_with(|| {
-            let settings = Settings { in_flight, queue: QUEUE, wait: LONGEST_WAIT };
+            // The declared limit may change with the configuration, so it is applied below.
+            let settings = Settings { in_flight: u32::MAX, queue: QUEUE, wait: LONGEST_WAIT };
             let inner = Inner { gate: Gate::new(settings), waiting: HashMap::new() };
             Arc::new(Door { inner: Mutex::new(inner) })
         });
-        door.lock().gate.set_limit(limit);
+        door.lock().gate.set_limit(limit.min(in_flight));
         door.clone()
     }
 }
