--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -34,7 +34,14 @@
 async fn follow_list(node: &Arc<Node>) {
     loop {
         match node.client.vms().await {
-            Ok(vms) => take_vms(node, vms),
+            Ok(vms) => {
+                // The list can be ahead of the notices, but does not tell the time that is left.
+                let news = vms.iter().any(|vm| vm.leaving && !node.is_leaving(&vm.id));
+                if news && let Ok(notices) = node.client.notices().await {
+                    take_notices(node, &notices);
+                }
+                take_vms(node, vms);
+            }
             Err(error) => log::debug!("vms: the VM list could not be read: {error}"),
         }
         tokio::time::sleep(node.settings.timing.vm_poll).await;
