--- a/tests/proof/mod.rs
+++ b/tests/proof/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the helpers")]
 
+pub mod proxied;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -114,7 +116,8 @@
     let mut outcomes: Vec<Outcome> = Vec::new();
     let attempts = if number.is_multiple_of(3) { 1 } else { load.attempts };
     for attempt in 0..attempts {
-        let entry = entries[(number + attempt) % entries.len()];
+        // Spreads the operations that are sent once over all entry VMs too.
+        let entry = entries[(number + number / 3 + attempt) % entries.len()];
         let outcome = book(entry, &key, load.deadline_ms, load.keyed).await;
         let end = outcome.is_success() || (!load.keyed && outcome.run != "no");
         outcomes.push(outcome);
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -3,72 +3,24 @@
 mod common;
 mod proof;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt, stream};
-use proof::{Load, Result};
+use proof::{Load, Result, proxied};
 use serde_json::json;
-use standin::fleet::{self, Fleet};
-use standin::proxy;
-use tokio::net::TcpListener;
-
-/// Holds a fleet whose endpoints are reached through fault proxies.
-struct Proxied {
-    fleet: Fleet,
-    controls: Vec<SocketAddr>,
-    direct: Vec<SocketAddr>,
-}
-
-async fn start(dir: &tempfile::TempDir, entries: usize, services: usize) -> Result<Proxied> {
-    let mut fleet = proof::fleet(dir, 0, services).await?;
-    let (mut controls, mut direct) = (Vec::new(), Vec::new());
-    for endpoint in &mut fleet.endpoints {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let control = TcpListener::bind("127.0.0.1:0").await?;
-        controls.push(control.local_addr()?);
-        direct.push(endpoint.vm.address);
-        let options = proxy::Options::to(endpoint.vm.address);
-        endpoint.vm.address = listener.local_addr()?;
-        tokio::spawn(proxy::run(listener, control, options));
-    }
-    fleet.register().await?;
-    for index in 0..entries {
-        fleet.entry(common::DOMAINS[index])?;
-    }
-    fleet.all_ready().await?;
-    Ok(Proxied { fleet, controls, direct })
-}
-
-impl Proxied {
-    /// Silences every connection that is open now; later ones work.
-    async fn silence(&self) -> Result {
-        for &control in &self.controls {
-            fleet::control(control, "POST", "/faults", &json!({ "silent": true })).await?;
-        }
-        Ok(())
-    }
-
-    /// Lets the helper read the counters of the services without the proxies.
-    fn reach_directly(&mut self) {
-        for (endpoint, address) in self.fleet.endpoints.iter_mut().zip(&self.direct) {
-            endpoint.vm.address = *address;
-        }
-    }
-}
 
 /// Guards against bookings that are put on silent connections and lost: only those on their way
 /// when the connections go silent may have an unknown outcome.
 #[tokio::test(flavor = "multi_thread")]
 async fn bookings() -> Result {
     let dir = tempfile::tempdir()?;
-    let mut proxied = start(&dir, 2, 2).await?;
+    let mut proxied = proxied::start(&dir, 2, 2).await?;
     let callers = proof::callers(&proxied.fleet);
     let load = Load { rate: 250, deadline_ms: 2_000, ..Load::new("silent", 1_200) };
     let driver = tokio::spawn(proof::drive(callers.clone(), load));
     for _ in 0..4 {
         proof::pause(900).await;
-        proxied.silence().await?;
+        proxied.endpoints(&json!({ "silent": true })).await?;
     }
     let outcomes = driver.await?;
     proof::check_recorded(&callers, &outcomes).await;
@@ -83,13 +35,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bursts() -> Result {
     let dir = tempfile::tempdir()?;
-    let mut proxied = start(&dir, 1, 2).await?;
+    let mut proxied = proxied::start(&dir, 1, 2).await?;
     let callers = proof::callers(&proxied.fleet);
     let mut outcomes = Vec::new();
     for name in ["burst-a", "burst-b", "burst-c", "burst-d"] {
         let load = Load { deadline_ms: 3_000, concurrency: 48, ..Load::new(name, 250) };
         outcomes.extend(proof::drive(callers.clone(), load).await);
-        proxied.silence().await?;
+        proxied.endpoints(&json!({ "silent": true })).await?;
     }
     proxied.reach_directly();
     let summary = proof::check(&outcomes, &proof::executions(&proxied.fleet).await?);
@@ -102,7 +54,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lookups() -> Result {
     let dir = tempfile::tempdir()?;
-    let proxied = start(&dir, 1, 4).await?;
+    let proxied = proxied::start(&dir, 1, 4).await?;
     let entry = proxied.fleet.entries[0].callers;
     let mut slow = Vec::new();
     for round in 0..6 {
@@ -122,7 +74,7 @@
                 slow.push(time);
             }
         }
-        proxied.silence().await?;
+        proxied.endpoints(&json!({ "silent": true })).await?;
         if round % 2 == 0 {
             // Older than the age at which an idle connection is probed again.
             proof::pause(600).await;
