--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -94,6 +94,10 @@
     transactions: u64,
     rows_written: u64,
     reads: u64,
+    vm_lists: u64,
+    notices: u64,
+    object_reads: u64,
+    object_writes: u64,
     rejected: u64,
     answers_lost: u64,
     refused_calls: u64,
@@ -240,29 +244,37 @@
     State(platform): Shared,
     Query(listing): Query<Listing>,
 ) -> Json<Vec<String>> {
-    let store = platform.store();
+    let mut store = platform.store();
+    store.counters.object_reads += 1;
     let keys = store.objects.keys().filter(|key| key.starts_with(&listing.prefix));
     Json(keys.cloned().collect())
 }
 
 async fn get_object(State(platform): Shared, Path(key): Path<String>) -> Response {
-    match platform.store().objects.get(&key) {
+    let mut store = platform.store();
+    store.counters.object_reads += 1;
+    match store.objects.get(&key) {
         Some(body) => body.clone().into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
 async fn put_object(State(platform): Shared, Path(key): Path<String>, body: Bytes) {
-    platform.store().objects.insert(key, body);
+    let mut store = platform.store();
+    store.counters.object_writes += 1;
+    store.objects.insert(key, body);
 }
 
 async fn vms(State(platform): Shared) -> Json<Vec<Vm>> {
-    let store = platform.store();
+    let mut store = platform.store();
+    store.counters.vm_lists += 1;
     Json(store.cloud.list(Instant::now(), Duration::from_millis(store.faults.list_lag_ms)))
 }
 
 async fn notices(State(platform): Shared) -> Json<Vec<Notice>> {
-    Json(platform.store().cloud.notices(Instant::now()))
+    let mut store = platform.store();
+    store.counters.notices += 1;
+    Json(store.cloud.notices(Instant::now()))
 }
 
 async fn start(State(platform): Shared, Json(start): Json<Start>) -> Json<Option<Arc<str>>> {
