--- a/src/caller/event.rs
+++ b/src/caller/event.rs
@@ -1,5 +1,6 @@
 //! Writes a stream as server-sent events or as one chat completion.
 
+use std::fmt::Write as _;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -40,7 +41,7 @@
         for token in &part.tokens {
             self.open(&mut text, next);
             text.push_str(&self.head);
-            text.push_str(&quote(token));
+            push_quoted(&mut text, token);
             text.push_str("},\"finish_reason\":null}]}\n\n");
             next += 1;
         }
@@ -59,8 +60,8 @@
     fn open(&self, text: &mut String, number: u64) {
         text.push_str("id: ");
         text.push_str(&self.id);
-        text.push('.');
-        text.push_str(&number.to_string());
+        // Writing to a string can't fail.
+        let _ = write!(text, ".{number}");
     }
 
     fn close(&self, text: &mut String, number: u64, reason: &str, usage: &Usage) {
@@ -139,5 +140,18 @@
 }
 
 fn quote(text: &str) -> String {
-    serde_json::Value::from(text).to_string()
+    let mut quoted = String::with_capacity(text.len() + 2);
+    push_quoted(&mut quoted, text);
+    quoted
+}
+
+/// Appends a text as JSON. Most tokens need no escapes, and this runs once per token.
+fn push_quoted(target: &mut String, text: &str) {
+    if text.bytes().any(|byte| byte < b' ' || byte == b'"' || byte == b'\\') {
+        target.push_str(&serde_json::Value::from(text).to_string());
+    } else {
+        target.push('"');
+        target.push_str(text);
+        target.push('"');
+    }
 }
--- a/src/endpoint/sse.rs
+++ b/src/endpoint/sse.rs
@@ -33,7 +33,7 @@
     pub fn next_event(&mut self) -> Option<&[u8]> {
         loop {
             let rest = &self.buffer[self.start..];
-            let length = rest.windows(2).position(|pair| pair == b"\n\n")?;
+            let length = find_end(rest)?;
             let event = self.start..self.start + length;
             self.start += length + 2;
             if self.buffer[event.clone()].starts_with(b"data: ") {
@@ -43,6 +43,19 @@
     }
 }
 
+/// Finds the empty line that ends an event. Lines are skipped as a whole, since this looks at every
+/// byte that is relayed.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    loop {
+        let newline = from + memchr::memchr(b'\n', &bytes[from..])?;
+        if *bytes.get(newline + 1)? == b'\n' {
+            return Some(newline);
+        }
+        from = newline + 1;
+    }
+}
+
 /// Holds what the relay needs from one chunk of a chat completion.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Chunk<'a> {
