--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -15,7 +15,13 @@
 /// Time for which a VM that is gone counts as leaving, since the list lags behind.
 const GONE_KEEP: Duration = Duration::from_secs(60);
 
-/// Polls the list and the notices until the process ends.
+/// Time between two readings of the list per entry VM. The list names every VM and is the largest
+/// answer of the platform, so large clusters read it less often.
+const LIST_PERIOD_PER_NODE: Duration = Duration::from_millis(15);
+/// Longest time between two readings; work must leave a stopping VM within about 2 s.
+const LONGEST_LIST_PERIOD: Duration = Duration::from_secs(2);
+
+/// Polls the notices, and in large clusters less often the list, until the process ends.
 pub async fn follow(node: Arc<Node>) {
     // A slow list must not delay a notice, which leaves only a few seconds.
     futures_util::future::join(follow_notices(&node), follow_list(&node)).await;
@@ -44,10 +50,17 @@
             }
             Err(error) => log::debug!("vms: the VM list could not be read: {error}"),
         }
-        tokio::time::sleep(node.settings.timing.vm_poll).await;
+        let period = list_period(node.settings.timing.vm_poll, node.members().len());
+        tokio::time::sleep(period).await;
     }
 }
 
+/// Gives the time between two readings of the VM list in a cluster of some size.
+fn list_period(poll: Duration, nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    LIST_PERIOD_PER_NODE.saturating_mul(nodes).min(LONGEST_LIST_PERIOD).max(poll)
+}
+
 fn take_notices(node: &Arc<Node>, notices: &[Notice]) {
     for notice in notices {
         let left = Duration::from_millis(notice.left_ms);
