--- a/src/bin/pomelolink/error.rs
+++ b/src/bin/pomelolink/error.rs
@@ -61,7 +61,8 @@
                 for mistake in mistakes {
                     writeln!(f, "{mistake}")?;
                 }
-                write!(f, "{} mistakes; nothing was applied", mistakes.len())
+                let noun = if mistakes.len() == 1 { "mistake" } else { "mistakes" };
+                write!(f, "{} {noun}; nothing was applied", mistakes.len())
             }
             Error::Refused(status, body) => {
                 for mistake in util::items(body, "mistakes") {
--- a/src/bin/pomelolinkd.rs
+++ b/src/bin/pomelolinkd.rs
@@ -18,7 +18,10 @@
 }
 
 fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let args = match parse(std::env::args()) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let settings = match config::Settings::load(Path::new(&args.settings)) {
         Ok(settings) => settings,
         Err(mistakes) => {
@@ -42,6 +45,24 @@
     }
 }
 
+/// Reads the arguments. A usage error has an exit code of its own, as in the tool: a supervisor that
+/// restarts the daemon after a failure can't repair it.
+fn parse(mut words: impl Iterator<Item = String>) -> Result<Args, ExitCode> {
+    let _ = words.next();
+    let words: Vec<String> = words.collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Args::from_args(&["pomelolinkd"], &words).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("pomelolinkd: {}", early.output.trim_end());
+            ExitCode::from(2)
+        }
+    })
+}
+
 fn start(settings: config::Settings) -> std::io::Result<()> {
     tokio::runtime::Runtime::new()?.block_on(daemon::run(settings))
 }
