--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -132,3 +132,12 @@
     }
     assert_eq!(checked, 7);
 }
+
+#[test]
+fn daemon_usage_error_ends_with_two() {
+    for words in [&[][..], &["--unknown", "settings.json"][..], &["--check", "/missing.json"][..]] {
+        let program = std::process::Command::new(env!("CARGO_BIN_EXE_pomelolinkd"));
+        let output = { program }.args(words).output().expect("the daemon starts");
+        assert_eq!(output.status.code(), Some(2), "{words:?}: {output:?}");
+    }
+}
