Let ended streams make room, and refuse earlier what can't be served

Change: the oldest ended streams and copies make room; a chat without any endpoint is refused as not run; a refused repeat gets its recorded answer; refusals are counted by kind; in_flight bounds the requests whose answer has not begun; 405 carries the error body; a second signal ends with code 1; a node is ready only when it has read the VM list.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -18,6 +18,7 @@
 use axum::routing::{get, post};
 use http::{HeaderMap, HeaderValue, header};
 use sha2::{Digest, Sha256};
+use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
 
 use crate::daemon::Node;
@@ -93,9 +94,17 @@
         .route("/healthz", get(async || "ok\n"))
         .route("/readyz", get(ready))
         .fallback(forward)
+        .method_not_allowed_fallback(wrong_method)
         .with_state(node)
 }
 
+async fn wrong_method(State(node): State<Arc<Node>>, request: Request) -> Response {
+    let id = node.next_id();
+    let echo = echo_id(request.headers(), &id);
+    let detail = format!("{} does not take {}", request.uri().path(), request.method());
+    finish(&node, echo, Err(Error::new(Kind::MethodNotAllowed, detail)))
+}
+
 async fn ready(State(node): State<Arc<Node>>) -> Response {
     match admit_node(&node) {
         Ok(()) => "ready\n".into_response(),
@@ -106,7 +115,16 @@
 async fn complete(State(node): State<Arc<Node>>, request: Request) -> Response {
     let id = node.next_id();
     let echo = echo_id(request.headers(), &id);
-    finish(echo, chat::handle(&node, id, request).await)
+    let answer = async {
+        let _place = take_place(&node)?;
+        chat::handle(&node, id, request).await
+    };
+    finish(&node, echo, answer.await)
+}
+
+fn take_place(node: &Node) -> Result<SemaphorePermit<'_>> {
+    let full = |_| Error::new(Kind::Overloaded, "too many requests wait on this entry VM");
+    node.places.try_acquire().map_err(full)
 }
 
 async fn read_draft(
@@ -116,13 +134,17 @@
 ) -> Response {
     let id = node.next_id();
     let echo = echo_id(request.headers(), &id);
-    finish(echo, draft::read(&node, id, &draft, request.headers()).await)
+    finish(&node, echo, draft::read(&node, id, &draft, request.headers()).await)
 }
 
 async fn forward(State(node): State<Arc<Node>>, request: Request) -> Response {
     let id = node.next_id();
     let echo = echo_id(request.headers(), &id);
-    finish(echo, plain::handle(&node, id, request).await)
+    let answer = async {
+        let _place = take_place(&node)?;
+        plain::handle(&node, id, request).await
+    };
+    finish(&node, echo, answer.await)
 }
 
 async fn models(State(node): State<Arc<Node>>, request: Request) -> Response {
@@ -134,7 +156,7 @@
             .collect();
         axum::Json(serde_json::json!({ "object": "list", "data": data })).into_response()
     });
-    finish(echo, listed)
+    finish(&node, echo, listed)
 }
 
 fn model_names(catalog: &Catalog) -> impl Iterator<Item = &Arc<str>> {
@@ -144,9 +166,10 @@
     })
 }
 
-fn finish(request_id: Arc<str>, result: Result<Response>) -> Response {
+fn finish(node: &Node, request_id: Arc<str>, result: Result<Response>) -> Response {
     let mut response = result.unwrap_or_else(|error| {
         log::info!("caller: request {request_id} refused: {error}");
+        node.metrics.refusals.with_label_values(&[error.kind.answer().name]).inc();
         error.into_response()
     });
     if let Ok(value) = HeaderValue::from_str(&request_id) {
@@ -170,7 +193,8 @@
         return Err(Error::new(Kind::Stopping, "this entry VM is shutting down"));
     }
     if !node.is_ready() {
-        return Err(Error::new(Kind::NotReady, "this entry VM has no configuration yet"));
+        let missing = if node.revision.is_ready() { "list of VMs" } else { "configuration" };
+        return Err(Error::new(Kind::NotReady, format!("this entry VM has no {missing} yet")));
     }
     Ok(())
 }
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -11,7 +11,7 @@
 use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, Visitor};
 use tokio::time::Instant;
 
-use super::{Context, admit, body, draft, event, identify, pump};
+use super::{Context, admit, body, draft, event, identify, pump, target};
 use crate::daemon::{Node, drain};
 use crate::error::{Error, Kind, Result};
 use crate::resource::{Protocol, Service};
@@ -44,6 +44,10 @@
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not valid UTF-8"))?;
     let head = parse(text)?;
     let service = model_service(&context, &head.model)?;
+    if !target::exists(node, &context.catalog, &head.model) {
+        let detail = format!("model {} has no endpoint now", head.model);
+        return Err(Error::new(Kind::NoEndpoint, detail));
+    }
     let (permit, request) = admitted(node, &context, &head, service, text).await?;
     if draft::is_wanted(&parts.headers) {
         return draft::accept(node, permit, request).await;
--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -82,8 +82,17 @@
         method: parts.method,
         body,
     };
-    let permit = context.admit(node, &call.service, service, WORK).await?;
     let idempotent = service.is_idempotent(&call.method, path);
+    let permit = match context.admit(node, &call.service, service, WORK).await {
+        Ok(permit) => permit,
+        Err(error) => {
+            // A repeat of a request that was run needs no endpoint, only its recorded answer.
+            let key = key.filter(|_| !idempotent).ok_or_else(|| error.clone())?;
+            let claim = call.claim(&context, key);
+            let recorded = keeper::recorded(&node.client, &claim.key, &claim.digest).await;
+            return Ok(respond(replay(&recorded.ok_or(error)?)?));
+        }
+    };
     let key = key.map(str::to_owned);
     let work = run(node.clone(), context, call, idempotent, key, permit);
     let result = if idempotent {
@@ -137,6 +146,15 @@
         let hash = xxh3::xxh3_64(context.id.as_bytes());
         Wish::new(self.service.clone(), self.route.clone(), hash)
     }
+
+    fn claim(&self, context: &Context, key: &str) -> keeper::Claim {
+        keeper::Claim {
+            key: claim::row_key(&context.workspace, &self.service, key),
+            attempt: context.id.clone(),
+            digest: claim::digest(self.method.as_str(), &self.path, &self.body),
+            deadline: self.deadline,
+        }
+    }
 }
 
 fn split(path: &str) -> (&str, &str) {
@@ -183,13 +201,7 @@
     call: &Call,
     key: &str,
 ) -> Result<keeper::Entry> {
-    let claim = keeper::Claim {
-        key: claim::row_key(&context.workspace, &call.service, key),
-        attempt: context.id.clone(),
-        digest: claim::digest(call.method.as_str(), &call.path, &call.body),
-        deadline: call.deadline,
-    };
-    keeper::enter(&node.client, &node.batcher, claim).await
+    keeper::enter(&node.client, &node.batcher, call.claim(context, key)).await
 }
 
 async fn run_once(
--- a/src/caller/target.rs
+++ b/src/caller/target.rs
@@ -111,6 +111,12 @@
     })
 }
 
+/// Tells whether a service has any endpoint, be it left out after failures for a moment.
+pub fn exists(node: &Node, catalog: &Catalog, service: &str) -> bool {
+    let version = catalog.serving(service).and_then(|name| catalog.version(&name));
+    version.is_some_and(|version| node.with_table(&version.pool, |table| !table.is_empty()))
+}
+
 impl Flight {
     /// Takes the load that the endpoint reported with its answer.
     pub fn load(&self, headers: &HeaderMap) {
--- a/src/claim/keeper.rs
+++ b/src/claim/keeper.rs
@@ -219,6 +219,16 @@
     }
 }
 
+/// Gives the recorded answer of a request that is not to be run now, if there is one.
+pub async fn recorded(client: &platform::Client, key: &str, digest: &str) -> Option<Answer> {
+    match read(client, key).await.ok()?? {
+        (_, Row { state: State::Done(answer), digest: known, .. }) if *known == *digest => {
+            Some(answer)
+        }
+        _ => None,
+    }
+}
+
 async fn read(client: &platform::Client, key: &str) -> Result<Option<(u64, Row)>> {
     let row = client.read_row(key).await;
     let row = row.map_err(|error| Error::new(Kind::PlatformDown, error.to_string()))?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -58,7 +58,6 @@
     pub read_timeout: Duration,
     pub in_flight: usize,
     pub journal_entries: usize,
-    pub default_deadline: Duration,
 }
 
 /// Sets the periods of the control loops.
@@ -165,7 +164,6 @@
             1..=1 << 20,
             Some(default.journal_entries),
         ),
-        default_deadline: read_millis(reader, "default_deadline_ms", default.default_deadline),
     }
 }
 
@@ -201,7 +199,6 @@
             read_timeout: Duration::from_secs(10),
             in_flight: 4_096,
             journal_entries: 8_192,
-            default_deadline: Duration::from_secs(120),
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -67,8 +67,8 @@
         () = signals.next() => false,
     };
     if !stopped {
-        log::warn!("daemon: a second signal ends the process at once");
-        return Ok(());
+        let detail = "a second signal ended the process before its requests had ended";
+        return Err(std::io::Error::other(detail));
     }
     end_flush.send_replace(true);
     let capacity = futures_util::future::OptionFuture::from(capacity);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,13 +1,13 @@
 //! State that the parts of one daemon share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::caller::admit;
 use crate::config::Settings;
@@ -35,10 +35,14 @@
     pub batcher: claim::Batcher,
     pub admit: admit::Doors,
     pub limits: admit::Limits,
+    /// Bounds the requests whose answer has not begun, and with them the bodies in memory.
+    pub places: Semaphore,
     pub metrics: Metrics,
     pub timeline: Arc<timeline::Buffer>,
     pub policy: retry::Policy,
     pub vms: watch::Sender<Arc<Vec<Vm>>>,
+    /// Set once the list of VMs has been read; before that, no endpoint is known.
+    pub vms_known: AtomicBool,
     /// Ids of endpoint VMs that must not get new work and whose streams move away.
     pub leaving: watch::Sender<Arc<Vec<Arc<str>>>>,
     /// Times at which endpoint VMs with a reclaim notice are gone.
@@ -72,6 +76,7 @@
             timeline: Arc::new(timeline),
             random: Mutex::new(StdRng::seed_from_u64(rand::random())),
             vms: watch::Sender::new(Arc::default()),
+            vms_known: AtomicBool::new(false),
             leaving: watch::Sender::new(Arc::default()),
             gone_at: Mutex::default(),
             storing: AtomicUsize::new(0),
@@ -83,6 +88,7 @@
             directory: endpoint::Directory::default(),
             admit: admit::Doors::default(),
             limits: admit::Limits::default(),
+            places: Semaphore::new(settings.limits.in_flight),
             metrics: Metrics::new(),
             network: OnceLock::new(),
             counter: AtomicU64::new(0),
@@ -123,7 +129,7 @@
 
     /// Tells whether callers may send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.revision.is_ready()
+        !self.is_stopping() && self.revision.is_ready() && self.vms_known.load(Ordering::Relaxed)
     }
 
     /// Tells whether an endpoint VM has to be left.
--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's list of VMs and its reclaim notices.
 
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -97,6 +98,7 @@
     for (pool, endpoints) in pools {
         node.with_table(&pool, |table| table.update(now, endpoints));
     }
+    node.vms_known.store(true, Ordering::Relaxed);
     node.vms.send_if_modified(|known| {
         let changed = **known != vms;
         if changed {
--- a/src/error.rs
+++ b/src/error.rs
@@ -50,6 +50,7 @@
     Unauthorized,
     Forbidden,
     NotFound,
+    MethodNotAllowed,
     SlowSender,
     TooLarge,
     HeadersTooLarge,
@@ -84,11 +85,12 @@
 
 impl Kind {
     /// Lists every kind, so that tests and documents can walk the table.
-    pub const ALL: [Kind; 25] = [
+    pub const ALL: [Kind; 26] = [
         Kind::BadRequest,
         Kind::Unauthorized,
         Kind::Forbidden,
         Kind::NotFound,
+        Kind::MethodNotAllowed,
         Kind::SlowSender,
         Kind::TooLarge,
         Kind::HeadersTooLarge,
@@ -120,6 +122,7 @@
             Kind::Unauthorized => ("unauthorized", 401, Run::No, Change),
             Kind::Forbidden => ("forbidden", 403, Run::No, Change),
             Kind::NotFound => ("not_found", 404, Run::No, Change),
+            Kind::MethodNotAllowed => ("method_not_allowed", 405, Run::No, Change),
             Kind::SlowSender => ("slow_sender", 408, Run::No, After(1_000)),
             Kind::TooLarge => ("too_large", 413, Run::No, Change),
             Kind::HeadersTooLarge => ("headers_too_large", 431, Run::No, Change),
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -8,6 +8,8 @@
     registry: Registry,
     /// Requests by service and result; services are declared, so their number is bounded.
     pub requests: IntCounterVec,
+    /// Requests that were answered with an error of the closed list, by its kind.
+    pub refusals: IntCounterVec,
     pub retries: IntCounterVec,
     pub tokens: IntCounter,
     pub recomputed_tokens: IntCounter,
@@ -33,6 +35,12 @@
                 "Requests by result.",
                 &["service", "result"],
             ),
+            refusals: counters(
+                &registry,
+                "pomelolink_refusals_total",
+                "Requests answered with an error, by kind.",
+                &["kind"],
+            ),
             retries: counters(
                 &registry,
                 "pomelolink_retries_total",
--- a/src/operator/view.rs
+++ b/src/operator/view.rs
@@ -27,7 +27,7 @@
     }
 
     pub fn mistakes(mistakes: &[Mistake]) -> Refusal {
-        let detail = format!("{} mistakes; nothing was applied", mistakes.len());
+        let detail = format!("{} mistake(s); nothing was applied", mistakes.len());
         let list: Vec<Value> = mistakes.iter().map(mistake).collect();
         let error = Error::new(Kind::BadRequest, detail);
         Refusal { error, extra: json!({ "mistakes": list }) }
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -78,7 +78,13 @@
     /// Opens an entry; `None` when the journal is full or the id is taken.
     pub fn open(&self, request: Request, tokens: Vec<Arc<str>>) -> Option<Arc<Entry>> {
         let mut entries = self.lock();
-        if entries.len() >= self.limit || entries.contains_key(&request.id) {
+        if entries.contains_key(&request.id) {
+            return None;
+        }
+        if entries.len() >= self.limit {
+            make_room(&mut entries, self.limit);
+        }
+        if entries.len() >= self.limit {
             return None;
         }
         let entry = Arc::new(Entry {
@@ -100,7 +106,11 @@
     /// Tells whether there is room for a copy of another node's stream. Copies fill half of the
     /// journal at most, so that they never keep this node from accepting requests.
     pub fn has_room_for_copy(&self) -> bool {
-        self.len() < self.limit / 2
+        let mut entries = self.lock();
+        if entries.len() >= self.limit / 2 {
+            make_room(&mut entries, self.limit);
+        }
+        entries.len() < self.limit / 2
     }
 
     pub fn remove(&self, id: &str) {
@@ -151,6 +161,23 @@
     }
 }
 
+/// Forgets the oldest streams that have ended or are only copies, an eighth of the limit at a time,
+/// so that the cost of looking for them is small per accepted stream.
+fn make_room(entries: &mut HashMap<Arc<str>, Arc<Entry>>, limit: usize) {
+    let mut idle: Vec<(Instant, Arc<str>)> = entries
+        .values()
+        .filter_map(|entry| Some((entry.idle_since()?, entry.request.id.clone())))
+        .collect();
+    let wanted = (limit / 8).max(1).min(idle.len());
+    if wanted == 0 {
+        return;
+    }
+    idle.select_nth_unstable(wanted - 1);
+    for (_, id) in &idle[..wanted] {
+        entries.remove(id);
+    }
+}
+
 impl Reader {
     pub fn entry(&self) -> &Arc<Entry> {
         &self.entry
@@ -285,6 +312,20 @@
         self.lock().finish.clone()
     }
 
+    /// Gives the time since which nobody reads or carries the stream here; `None` while somebody
+    /// does.
+    fn idle_since(&self) -> Option<Instant> {
+        if self.readers.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
+        let progress = self.lock();
+        match (progress.ended, progress.mode) {
+            (Some(ended), _) => Some(ended),
+            (None, Mode::Copy) => Some(self.accepted),
+            (None, _) => None,
+        }
+    }
+
     /// Attaches a reader.
     pub fn reader(self: &Arc<Entry>, offset: u64) -> Reader {
         self.readers.fetch_add(1, Ordering::Relaxed);
