Fence move steps in the table and show leases

A step of a move was checked against the time left on the lease and then written on condition of the configuration only, so a holder paused between check and write could still write after another node had taken the lease. The step now depends on the lease row showing the holder's own fence. Non-holders read the lease row once per second to find the holder, which held evidence back while the platform was silent; they now use what the lease keeper has seen. A commit starts a fetch on its node, and status lists the lease with duty, failure domain, holder, fence and, on the holder, the time left.

--- a/src/bin/pomelolink/status.rs
+++ b/src/bin/pomelolink/status.rs
@@ -63,10 +63,25 @@
         util::text(report, "failure_domain"),
         report["revision"]
     ))?;
-    for name in ["members", "leases"] {
-        for item in util::items(report, name) {
-            util::print(&format!("  {name}: {item}"))?;
-        }
+    for item in util::items(report, "members") {
+        util::print(&format!("  members: {item}"))?;
+    }
+    for lease in util::items(report, "leases") {
+        // Only the holder knows the time left; the others see that the row changes.
+        let left = match lease["left_ms"].as_u64() {
+            Some(left) => format!(", {}.{} s left", left / 1_000, left % 1_000 / 100),
+            None => String::new(),
+        };
+        util::print(&format!(
+            "  lease {}/{}: held by {}, fence {}{left}",
+            util::text(lease, "duty"),
+            util::text(lease, "failure_domain"),
+            match lease["holder"].as_str() {
+                Some("") | None => "nobody",
+                Some(holder) => holder,
+            },
+            lease["fence"]
+        ))?;
     }
     for shift in util::items(report, "moves") {
         let share = shift["share_permille"].as_u64().unwrap_or(0);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
 
 use crate::config::Settings;
 use crate::util::serve;
-use crate::{caller, claim, operator, timeline};
+use crate::{caller, claim, lease, operator, timeline};
 
 pub use node::Node;
 
@@ -41,14 +41,15 @@
     peers::start(&node).await?;
     let (close, closed) = watch::channel(false);
     let flush = tokio::spawn(flush_events(node.clone(), closed.clone()));
-    let moves = tokio::spawn(moves::run(node.clone()));
+    let keeper = moves::keeper(&node);
+    let moves = tokio::spawn(moves::run(node.clone(), keeper.clone()));
     tokio::spawn(vms::follow(node.clone()));
     tokio::spawn(peers::measure(node.clone()));
     let bounds = serve::Bounds {
         header_bytes: node.settings.limits.header_bytes,
         header_timeout: node.settings.limits.read_timeout,
     };
-    let routes = operator::router(operator_state(&node));
+    let routes = operator::router(operator_state(&node, keeper));
     tokio::spawn(serve::serve(operators, routes, bounds, closed.clone()));
     let server = serve::serve(callers, caller::router(node.clone()), bounds, closed);
     let server = tokio::spawn(server);
@@ -137,8 +138,9 @@
     })
 }
 
-fn operator_state(node: &Arc<Node>) -> operator::State {
+fn operator_state(node: &Arc<Node>, keeper: Arc<lease::Keeper>) -> operator::State {
     let (unready, members, metrics) = (node.clone(), node.clone(), node.clone());
+    let revision = node.revision.clone();
     operator::State {
         node: node.settings.node.clone(),
         failure_domain: node.settings.failure_domain.clone(),
@@ -149,9 +151,9 @@
         now_ms: Arc::new(claim::keeper::unix_ms),
         unready: Arc::new(move || caller::admit_node(&unready).err().map(|error| error.detail)),
         members: Arc::new(move || members_json(&members)),
-        leases: Arc::new(|| json!([])),
+        leases: Arc::new(move || moves::show_lease(&keeper)),
         metrics: Arc::new(move || metrics.metrics.render()),
-        committed: Arc::new(|_| {}),
+        committed: Arc::new(move |committed| revision.expect(committed)),
     }
 }
 
--- a/src/daemon/moves.rs
+++ b/src/daemon/moves.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use super::Node;
+use crate::claim;
 use crate::lease::{Duty, Keeper};
 use crate::peer::Request;
 use crate::resource::{Phase, Progress, Spec};
 use crate::revision::commit;
 use crate::rollout::{self, Decision, Step};
 use crate::timeline::Subject;
-use crate::{claim, lease};
 
 /// Names the duty; moves concern all failure domains, so there is one holder.
 const DUTY: &str = "moves";
@@ -21,17 +23,39 @@
 const MARGIN: Duration = Duration::from_secs(2);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Keeps the lease and carries out the duty while this node holds it.
-pub async fn run(node: Arc<Node>) {
+/// Prepares to take part in the duty.
+pub fn keeper(node: &Node) -> Arc<Keeper> {
     let started = Instant::now();
     let process = format!("{}/{:x}", node.settings.node, node.incarnation);
-    let keeper = Arc::new(Keeper::new(
+    Arc::new(Keeper::new(
         node.client.clone(),
         Duty::new(DUTY, DOMAIN),
         process.into(),
         node.settings.timing.lease_term,
         Arc::new(move || started.elapsed()),
-    ));
+    ))
+}
+
+/// Shows the lease as this node last saw it; only its holder knows the time left.
+pub fn show_lease(keeper: &Keeper) -> serde_json::Value {
+    let Some(lease) = keeper.seen() else { return json!([]) };
+    let duty = keeper.duty();
+    json!([{
+        "duty": duty.name,
+        "failure_domain": duty.domain,
+        "holder": node_name(&lease.holder),
+        "fence": lease.fence,
+        "left_ms": keeper.left().map(|left| left.as_millis() as u64),
+    }])
+}
+
+/// Gives the node of a process that holds a lease; empty after a release.
+fn node_name(process: &str) -> &str {
+    process.split('/').next().unwrap_or_default()
+}
+
+/// Keeps the lease and carries out the duty while this node holds it.
+pub async fn run(node: Arc<Node>, keeper: Arc<Keeper>) {
     let running = keeper.clone();
     let kept = tokio::spawn(async move { running.run().await });
     let mut sequence = node.incarnation;
@@ -63,8 +87,10 @@
         take_reports(node, reports);
         return;
     }
-    let Ok(Some(lease)) = lease::read(&node.client, &Duty::new(DUTY, DOMAIN)).await else { return };
-    let holder = lease.holder.split('/').next().unwrap_or_default();
+    // The keeper looks at the row several times per term. Reading it here as well would hold back
+    // evidence while the platform is down or slow.
+    let Some(lease) = keeper.seen() else { return };
+    let holder = node_name(&lease.holder);
     let member = node.members().into_iter().find(|member| *member.node == *holder);
     let (Some(member), Some(network)) = (member, node.network.get()) else { return };
     let Ok(bytes) = postcard::to_allocvec(&reports) else { return };
@@ -104,10 +130,21 @@
         };
         // The lease may have run out since the evidence was read.
         let Some(holder) = keeper.holder(MARGIN) else { return };
-        let recorded =
-            commit::record_progress(&node.client, &decision.id, progress, &next, serving.as_ref());
+        let (key, process) = (keeper.duty().key(), keeper.process());
+        let guard = commit::Guard { key, process, fence: holder.fence };
+        let recorded = commit::record_progress(
+            &node.client,
+            Some(&guard),
+            &decision.id,
+            progress,
+            &next,
+            serving.as_ref(),
+        );
         match recorded.await {
-            Ok(_) => announce(node, &decision, &next, holder.fence),
+            Ok(committed) => {
+                node.revision.expect(committed.revision);
+                announce(node, &decision, &next, holder.fence);
+            }
             Err(failure) => log::warn!("rollout: step of {} not recorded: {failure}", decision.id),
         }
     }
--- a/src/lease/keeper.rs
+++ b/src/lease/keeper.rs
@@ -41,6 +41,26 @@
         Keeper { duty, client, clock, state, changed: Notify::new() }
     }
 
+    pub fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Gives the name under which this process holds the lease.
+    pub fn process(&self) -> Arc<str> {
+        self.state().process()
+    }
+
+    /// Gives the lease as last seen, also one of another process; it may have ended since.
+    pub fn seen(&self) -> Option<Lease> {
+        self.state().seen()
+    }
+
+    /// Gives the time for which this process still holds the lease; `None` when it doesn't.
+    pub fn left(&self) -> Option<Duration> {
+        let holder = self.state().holder()?;
+        holder.until.checked_sub((self.clock)()).filter(|left| !left.is_zero())
+    }
+
     /// Gives the proof of holding if the time left exceeds `margin`; asked before each order.
     pub fn holder(&self, margin: Duration) -> Option<Holder> {
         // The clock is read after the lock was taken, so that waiting for it costs time.
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -114,6 +114,15 @@
         self.held
     }
 
+    pub fn process(&self) -> Arc<str> {
+        self.process.clone()
+    }
+
+    /// Gives the lease in the row as last read or written; `None` before that and without a row.
+    pub fn seen(&self) -> Option<Lease> {
+        self.seen.as_ref()?.lease.clone()
+    }
+
     /// Stops renewing and gives the row up, so that a successor need not wait for the term.
     ///
     /// From now on this process sends no order; `holder` gives nothing.
--- a/src/revision.rs
+++ b/src/revision.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::platform;
 use crate::resource::{Catalog, Id, Kind, Resource};
@@ -27,11 +27,12 @@
 #[derive(Debug)]
 pub struct State {
     sender: watch::Sender<Arc<Catalog>>,
+    stale: Notify,
 }
 
 impl Default for State {
     fn default() -> State {
-        State { sender: watch::Sender::new(Arc::default()) }
+        State { sender: watch::Sender::new(Arc::default()), stale: Notify::new() }
     }
 }
 
@@ -51,6 +52,13 @@
         self.sender.subscribe()
     }
 
+    /// Makes the loop of `run` fetch at once when this node has learned of a newer revision.
+    pub fn expect(&self, revision: u64) {
+        if revision > self.current().revision {
+            self.stale.notify_one();
+        }
+    }
+
     /// Puts a catalog into effect if it is newer; tells whether it was.
     pub fn apply(&self, catalog: Catalog) -> bool {
         self.sender.send_if_modified(|current| {
--- a/src/revision/commit.rs
+++ b/src/revision/commit.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lease::Lease;
 use crate::platform::{self, Condition, Outcome, Row, Transaction, Write};
 use crate::resource::{Catalog, Id, Phase, Progress, Resource, Spec};
 use crate::revision::{self, HEAD_KEY, RESOURCE_PREFIX};
@@ -41,6 +42,33 @@
     pub now_ms: u64,
 }
 
+/// Names the lease that a step depends on.
+///
+/// The time left on a lease can end between its check and the arrival of the write, for instance
+/// when the process is paused; the table then still refuses the write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Guard {
+    /// Key of the lease row.
+    pub key: String,
+    pub process: Arc<str>,
+    pub fence: u64,
+}
+
+impl Guard {
+    /// Takes the lease row out of the rows and gives the condition that it has not changed.
+    fn condition(&self, rows: &mut BTreeMap<String, Row>) -> Result<Condition, String> {
+        let row = rows.remove(&self.key);
+        let lease = row.as_ref().and_then(|row| Lease::from_value(&row.value));
+        let held = |lease: &Lease| lease.holder == self.process && lease.fence == self.fence;
+        match row {
+            Some(row) if lease.as_ref().is_some_and(held) => {
+                Ok(Condition { key: row.key, version: Some(row.version) })
+            }
+            _ => Err(format!("{} is no longer held with fence {}", self.key, self.fence)),
+        }
+    }
+}
+
 /// Tells what happened to a resource.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -164,7 +192,7 @@
 ///
 /// Fails as the platform call does.
 pub async fn read_base(client: &platform::Client) -> Result<Base, platform::Failure> {
-    Ok(split_rows(client.read(&query(None)).await?, None).0)
+    Ok(split_rows(client.read(&query(None, None)).await?, None).0)
 }
 
 /// Applies an edit as one conditional transaction and records the operation.
@@ -181,7 +209,7 @@
     operation: &Operation,
     edit: Edit<'_>,
 ) -> Result<Committed, Failure> {
-    run(client, Some(operation), edit).await
+    run(client, Some(operation), None, edit).await
 }
 
 /// Records the progress of a move and, with `serving`, the version that serves its service.
@@ -192,16 +220,17 @@
 /// # Errors
 ///
 /// Fails with a conflict unless the move is in progress as `expected`; an operator may have
-/// reverted it.
+/// reverted it. Fails with `NotApplied` when the lease of `guard` is no longer held.
 pub async fn record_progress(
     client: &platform::Client,
+    guard: Option<&Guard>,
     id: &Id,
     expected: &Progress,
     new: &Progress,
     serving: Option<&Arc<str>>,
 ) -> Result<Committed, Failure> {
     let edit = |base: &Base| set_progress(base, id, expected, new, serving);
-    run(client, None, &edit).await
+    run(client, None, guard, &edit).await
 }
 
 fn set_progress(
@@ -311,12 +340,13 @@
 async fn run(
     client: &platform::Client,
     operation: Option<&Operation>,
+    guard: Option<&Guard>,
     edit: Edit<'_>,
 ) -> Result<Committed, Failure> {
     let mut history = History::default();
     for attempt in 0..ATTEMPTS {
         pause(attempt, operation).await;
-        let rows = match client.read(&query(operation)).await {
+        let mut rows = match client.read(&query(operation, guard)).await {
             Ok(rows) => rows,
             // The write may have taken effect, so its row is worth another read.
             Err(_) if history.unknown.is_some() && history.unknowns < UNKNOWN_ATTEMPTS => {
@@ -325,11 +355,13 @@
             }
             Err(failure) => return Err(history.fail(failure.to_string())),
         };
+        let held = guard.map(|guard| guard.condition(&mut rows)).transpose();
         let (base, recorded) = split_rows(rows, operation);
         if let (Some(row), Some(operation)) = (recorded, operation) {
             return first_result(&row, operation);
         }
         history.observe(&base);
+        let held = held.map_err(|reason| history.fail(reason))?;
         if operation.is_some() {
             history.check_seen(&base)?;
         }
@@ -341,7 +373,8 @@
         }
         history.remember(&base, &changes);
         let plan = plan(client, &base, &catalog, changes, operation).await;
-        let (transaction, committed) = plan.map_err(|error| history.fail(error.to_string()))?;
+        let (mut transaction, committed) = plan.map_err(|error| history.fail(error.to_string()))?;
+        transaction.conditions.extend(held);
         match client.transact(&transaction).await {
             Outcome::Done(version) => return Ok(Committed { version, ..committed }),
             Outcome::Rejected(_) => {}
@@ -376,8 +409,9 @@
     tokio::time::sleep(Duration::from_millis(most + seed % most)).await;
 }
 
-fn query(operation: Option<&Operation>) -> platform::Query {
+fn query(operation: Option<&Operation>, guard: Option<&Guard>) -> platform::Query {
     let mut keys = vec![HEAD_KEY.to_owned()];
+    keys.extend(guard.map(|guard| guard.key.clone()));
     keys.extend(operation.map(|operation| operation_key(&operation.id)));
     platform::Query { keys, prefixes: vec![RESOURCE_PREFIX.to_owned()] }
 }
--- a/src/revision/follow.rs
+++ b/src/revision/follow.rs
@@ -41,6 +41,8 @@
     loop {
         tokio::select! {
             hint = next_hint(&mut hints) => follow_hint(&state, &client, &network, hint).await,
+            // Whoever committed through this node reads the change back here.
+            () = state.stale.notified() => poll(&state, &client, &network).await,
             () = time::sleep_until(next_poll) => {
                 poll(&state, &client, &network).await;
                 next_poll = Instant::now() + period.mul_f64(rng.random_range(JITTER..=1.0));
--- a/tests/config_races.rs
+++ b/tests/config_races.rs
@@ -176,12 +176,12 @@
     assert_eq!((accepted.phase, accepted.share_permille), (Phase::InProgress, 0));
     let canary = Progress { share_permille: 10, reason: "canary".into(), ..accepted.clone() };
     platform.lost_answers.store(1, Ordering::SeqCst);
-    commit::record_progress(&client, &id, &accepted, &canary, None).await.unwrap();
+    commit::record_progress(&client, None, &id, &accepted, &canary, None).await.unwrap();
     let done = Progress { phase: Phase::Done, share_permille: 1_000, ..canary.clone() };
-    let late = commit::record_progress(&client, &id, &accepted, &done, None).await;
+    let late = commit::record_progress(&client, None, &id, &accepted, &done, None).await;
     assert!(matches!(late, Err(Failure::Conflict(_))), "{late:?}");
     let serving: Arc<str> = "chat-2".into();
-    commit::record_progress(&client, &id, &canary, &done, Some(&serving)).await.unwrap();
+    commit::record_progress(&client, None, &id, &canary, &done, Some(&serving)).await.unwrap();
 
     let after = commit::read_base(&client).await.unwrap().catalog;
     assert_eq!(after.revision, base.revision + 2);
@@ -196,6 +196,6 @@
     let edit = |base: &Base| edit::delete(base, &id, None, "test", 2_000);
     let aborted = commit::commit(&client, &workdir::operation("abort"), &edit).await.unwrap();
     assert_eq!(aborted.changes[0].action, commit::Action::Reverted);
-    let late = commit::record_progress(&client, &id, &accepted, &canary, None).await;
+    let late = commit::record_progress(&client, None, &id, &accepted, &canary, None).await;
     assert!(matches!(late, Err(Failure::Conflict(_))), "{late:?}");
 }
