Keep the shown revision from going back when the platform fails

GET /v1/resources shows the table, or the configuration in effect while the platform is unreachable. A read now puts what it shows into effect.

--- a/src/operator/read.rs
+++ b/src/operator/read.rs
@@ -57,7 +57,14 @@
 /// Reads the table, or shows the configuration in effect without row versions.
 async fn read_base(state: &State) -> (Base, &'static str) {
     match commit::read_base(&state.client).await {
-        Ok(base) => (base, "table"),
+        Ok(base) => {
+            // Puts what is shown into effect: otherwise the next answer would go back to an older
+            // revision if the platform failed before the next poll.
+            if base.catalog.revision > state.revision.current().revision {
+                state.revision.apply(base.catalog.clone());
+            }
+            (base, "table")
+        }
         Err(failure) => {
             log::warn!("operator: showing the configuration in effect: {failure}");
             let catalog = resource::Catalog::clone(&state.revision.current());
