--- a/src/daemon/moves.rs
+++ b/src/daemon/moves.rs
@@ -19,8 +19,12 @@
 const DOMAIN: &str = "all";
 /// Period of reports and decisions.
 const PERIOD: Duration = Duration::from_secs(1);
-/// Time that must be left on the lease when a step is written.
-const MARGIN: Duration = Duration::from_secs(2);
+/// Part of the term that must be left on the lease when a step is written.
+///
+/// The lease is renewed each third of the term, so a healthy holder has more than half left. A
+/// fixed margin of 2 s stopped all steps at a term of 3 s whenever decisions and renewals fell into
+/// the same rhythm.
+const MARGIN_PARTS: u32 = 3;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Prepares to take part in the duty.
@@ -58,6 +62,7 @@
 pub async fn run(node: Arc<Node>, keeper: Arc<Keeper>) {
     let running = keeper.clone();
     let kept = tokio::spawn(async move { running.run().await });
+    let margin = node.settings.timing.lease_term / MARGIN_PARTS;
     let mut sequence = node.incarnation;
     let mut stopping = node.stopping.subscribe();
     loop {
@@ -69,8 +74,8 @@
         let catalog = node.revision.current();
         node.observer().sync(&catalog);
         report(&node, &keeper, sequence).await;
-        if keeper.holder(MARGIN).is_some() {
-            decide(&node, &keeper).await;
+        if keeper.holder(margin).is_some() {
+            decide(&node, &keeper, margin).await;
         }
     }
     keeper.release();
@@ -109,7 +114,7 @@
     }
 }
 
-async fn decide(node: &Arc<Node>, keeper: &Keeper) {
+async fn decide(node: &Arc<Node>, keeper: &Keeper, margin: Duration) {
     let catalog = node.revision.current();
     let now_ms = claim::keeper::unix_ms();
     let decisions = {
@@ -129,7 +134,7 @@
             continue;
         };
         // The lease may have run out since the evidence was read.
-        let Some(holder) = keeper.holder(MARGIN) else { return };
+        let Some(holder) = keeper.holder(margin) else { return };
         let (key, process) = (keeper.duty().key(), keeper.process());
         let guard = commit::Guard { key, process, fence: holder.fence };
         let recorded = commit::record_progress(
