--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,7 +19,7 @@
 use crate::caller::draft;
 use crate::config::Settings;
 use crate::util::serve;
-use crate::{caller, claim, operator, timeline};
+use crate::{caller, claim, lease, operator, timeline};
 
 pub use node::Node;
 
@@ -42,7 +42,8 @@
     let (close, closed) = watch::channel(false);
     let (end_flush, flush_ended) = watch::channel(false);
     let flush = tokio::spawn(flush_events(node.clone(), flush_ended));
-    let moves = tokio::spawn(moves::run(node.clone()));
+    let keeper = moves::keeper(&node);
+    let moves = tokio::spawn(moves::run(node.clone(), keeper.clone()));
     let capacity = node.settings.capacity.enabled;
     let capacity = capacity.then(|| tokio::spawn(capacity::run(node.clone())));
     tokio::spawn(vms::follow(node.clone()));
@@ -53,7 +54,7 @@
         header_bytes: node.settings.limits.header_bytes,
         header_timeout: node.settings.limits.read_timeout,
     };
-    let routes = operator::router(operator_state(&node));
+    let routes = operator::router(operator_state(&node, keeper));
     tokio::spawn(serve::serve(operators, routes, bounds, closed.clone()));
     let server = serve::serve(callers, caller::router(node.clone()), bounds, closed);
     let server = tokio::spawn(server);
@@ -136,8 +137,9 @@
     })
 }
 
-fn operator_state(node: &Arc<Node>) -> operator::State {
+fn operator_state(node: &Arc<Node>, keeper: Arc<lease::Keeper>) -> operator::State {
     let (unready, members, metrics) = (node.clone(), node.clone(), node.clone());
+    let revision = node.revision.clone();
     operator::State {
         node: node.settings.node.clone(),
         failure_domain: node.settings.failure_domain.clone(),
@@ -148,9 +150,9 @@
         now_ms: Arc::new(claim::keeper::unix_ms),
         unready: Arc::new(move || caller::admit_node(&unready).err().map(|error| error.detail)),
         members: Arc::new(move || members_json(&members)),
-        leases: Arc::new(|| json!([])),
+        leases: Arc::new(move || moves::show_lease(&keeper)),
         metrics: Arc::new(move || metrics.metrics.render()),
-        committed: Arc::new(|_| {}),
+        committed: Arc::new(move |committed| revision.expect(committed)),
     }
 }
 
--- a/src/daemon/moves.rs
+++ b/src/daemon/moves.rs
@@ -3,37 +3,66 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use super::Node;
+use crate::claim;
 use crate::lease::{Duty, Keeper};
 use crate::peer::Request;
 use crate::resource::{Phase, Progress, Spec};
 use crate::revision::commit;
 use crate::rollout::{self, Decision, Step};
 use crate::timeline::Subject;
-use crate::{claim, lease};
 
 /// Names the duty; moves concern all failure domains, so there is one holder.
 const DUTY: &str = "moves";
 const DOMAIN: &str = "all";
 /// Period of reports and decisions.
 const PERIOD: Duration = Duration::from_secs(1);
-/// Time that must be left on the lease when a step is written.
-const MARGIN: Duration = Duration::from_secs(2);
+/// Part of the term that must be left on the lease when a step is written.
+///
+/// The lease is renewed each third of the term, so a healthy holder has more than half left. A
+/// fixed margin of 2 s stopped all steps at a term of 3 s whenever decisions and renewals fell into
+/// the same rhythm.
+const MARGIN_PARTS: u32 = 3;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Keeps the lease and carries out the duty while this node holds it.
-pub async fn run(node: Arc<Node>) {
+/// Prepares to take part in the duty.
+pub fn keeper(node: &Node) -> Arc<Keeper> {
     let started = Instant::now();
     let process = format!("{}/{:x}", node.settings.node, node.incarnation);
-    let keeper = Arc::new(Keeper::new(
+    Arc::new(Keeper::new(
         node.client.clone(),
         Duty::new(DUTY, DOMAIN),
         process.into(),
         node.settings.timing.lease_term,
         Arc::new(move || started.elapsed()),
-    ));
+    ))
+}
+
+/// Shows the lease as this node last saw it; only its holder knows the time left.
+pub fn show_lease(keeper: &Keeper) -> serde_json::Value {
+    let Some(lease) = keeper.seen() else { return json!([]) };
+    let duty = keeper.duty();
+    json!([{
+        "duty": duty.name,
+        "failure_domain": duty.domain,
+        "holder": node_name(&lease.holder),
+        "fence": lease.fence,
+        "left_ms": keeper.left().map(|left| left.as_millis() as u64),
+    }])
+}
+
+/// Gives the node of a process that holds a lease; empty after a release.
+fn node_name(process: &str) -> &str {
+    process.split('/').next().unwrap_or_default()
+}
+
+/// Keeps the lease and carries out the duty while this node holds it.
+pub async fn run(node: Arc<Node>, keeper: Arc<Keeper>) {
     let running = keeper.clone();
     let kept = tokio::spawn(async move { running.run().await });
+    let margin = node.settings.timing.lease_term / MARGIN_PARTS;
     let mut sequence = node.incarnation;
     let mut stopping = node.stopping.subscribe();
     loop {
@@ -45,8 +74,8 @@
         let catalog = node.revision.current();
         node.observer().sync(&catalog);
         report(&node, &keeper, sequence).await;
-        if keeper.holder(MARGIN).is_some() {
-            decide(&node, &keeper).await;
+        if keeper.holder(margin).is_some() {
+            decide(&node, &keeper, margin).await;
         }
     }
     keeper.release();
@@ -63,8 +92,10 @@
         take_reports(node, reports);
         return;
     }
-    let Ok(Some(lease)) = lease::read(&node.client, &Duty::new(DUTY, DOMAIN)).await else { return };
-    let holder = lease.holder.split('/').next().unwrap_or_default();
+    // The keeper looks at the row several times per term. Reading it here as well would hold back
+    // evidence while the platform is down or slow.
+    let Some(lease) = keeper.seen() else { return };
+    let holder = node_name(&lease.holder);
     let member = node.members().into_iter().find(|member| *member.node == *holder);
     let (Some(member), Some(network)) = (member, node.network.get()) else { return };
     let Ok(bytes) = postcard::to_allocvec(&reports) else { return };
@@ -83,7 +114,7 @@
     }
 }
 
-async fn decide(node: &Arc<Node>, keeper: &Keeper) {
+async fn decide(node: &Arc<Node>, keeper: &Keeper, margin: Duration) {
     let catalog = node.revision.current();
     let now_ms = claim::keeper::unix_ms();
     let decisions = {
@@ -103,11 +134,22 @@
             continue;
         };
         // The lease may have run out since the evidence was read.
-        let Some(holder) = keeper.holder(MARGIN) else { return };
-        let recorded =
-            commit::record_progress(&node.client, &decision.id, progress, &next, serving.as_ref());
+        let Some(holder) = keeper.holder(margin) else { return };
+        let (key, process) = (keeper.duty().key(), keeper.process());
+        let guard = commit::Guard { key, process, fence: holder.fence };
+        let recorded = commit::record_progress(
+            &node.client,
+            Some(&guard),
+            &decision.id,
+            progress,
+            &next,
+            serving.as_ref(),
+        );
         match recorded.await {
-            Ok(_) => announce(node, &decision, &next, holder.fence),
+            Ok(committed) => {
+                node.revision.expect(committed.revision);
+                announce(node, &decision, &next, holder.fence);
+            }
             Err(failure) => log::warn!("rollout: step of {} not recorded: {failure}", decision.id),
         }
     }
