--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::BoxFuture;
 
-use super::{Node, moves};
+use super::{Node, moves, vms};
 use crate::membership::Status;
 use crate::peer::{self, Reply, Request};
 use crate::{revision, rollout, stream};
@@ -49,6 +49,7 @@
             Request::HandOver(bytes) => stream::remote::receive(&node, &bytes, true),
             Request::Copy(bytes) => stream::remote::receive(&node, &bytes, false),
             Request::ReportEvidence(bytes) => report(&node, &bytes),
+            Request::PullVms => vms::give(&node),
             Request::PullConfig { .. } | Request::SyncMembers(_) => Reply::Refused(REFUSED.into()),
         }
     })
--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::Node;
+use crate::peer::{Reply, Request};
 use crate::platform::{Notice, Vm};
 use crate::routing;
 use crate::timeline::Subject;
@@ -16,6 +17,9 @@
 /// Time for which a VM that is gone counts as leaving, since the list lags behind.
 const GONE_KEEP: Duration = Duration::from_secs(60);
 
+/// Peers asked for their list, and the time that each has to answer.
+const PEERS_ASKED: usize = 3;
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two readings of the list per entry VM. The list names every VM and is the largest
 /// answer of the platform, so large clusters read it less often.
 const LIST_PERIOD_PER_NODE: Duration = Duration::from_millis(15);
@@ -49,7 +53,12 @@
                 }
                 take_vms(node, vms);
             }
-            Err(error) => log::debug!("vms: the VM list could not be read: {error}"),
+            Err(error) => {
+                log::debug!("vms: the VM list could not be read: {error}");
+                if !node.vms_known.load(Ordering::Relaxed) {
+                    ask_peers(node).await;
+                }
+            }
         }
         let period = list_period(node.settings.timing.vm_poll, node.members().len());
         tokio::time::sleep(period).await;
@@ -62,6 +71,29 @@
     LIST_PERIOD_PER_NODE.saturating_mul(nodes).min(LONGEST_LIST_PERIOD).max(poll)
 }
 
+/// Gives the list to a node that has none, if this node has one.
+pub fn give(node: &Node) -> Reply {
+    let known = node.vms_known.load(Ordering::Relaxed);
+    let list = known.then(|| postcard::to_allocvec(&**node.vms.borrow()));
+    match list {
+        Some(Ok(bytes)) => Reply::Payload(bytes),
+        _ => Reply::Refused("this node has no list of VMs".into()),
+    }
+}
+
+/// Takes the list of a peer, so that a node which starts during an outage of the platform serves.
+async fn ask_peers(node: &Arc<Node>) {
+    let Some(network) = node.network.get() else { return };
+    for member in network.sample(PEERS_ASKED) {
+        let reply = network.request(member.address, Request::PullVms, PEER_TIMEOUT).await;
+        let Ok(Reply::Payload(bytes)) = reply else { continue };
+        if let Ok(vms) = postcard::from_bytes(&bytes) {
+            log::info!("vms: the list of {} is in use until the platform answers", member.node);
+            return take_vms(node, vms);
+        }
+    }
+}
+
 fn take_notices(node: &Arc<Node>, notices: &[Notice]) {
     for notice in notices {
         let left = Duration::from_millis(notice.left_ms);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -63,15 +63,18 @@
     Copy(Vec<u8>),
     /// Reports evidence on versions to the lease holder.
     ReportEvidence(Vec<u8>),
+    /// Asks for the list of VMs, when the platform can't be reached.
+    PullVms,
 }
 
 impl Request {
     /// Tells whether the request may be sent again after a failure with unknown outcome.
     pub fn is_idempotent(&self) -> bool {
         match self {
-            Request::PullConfig { .. } | Request::SyncMembers(_) | Request::FetchStream { .. } => {
-                true
-            }
+            Request::PullConfig { .. }
+            | Request::SyncMembers(_)
+            | Request::FetchStream { .. }
+            | Request::PullVms => true,
             Request::HandOver(_) | Request::Copy(_) | Request::ReportEvidence(_) => false,
         }
     }
--- a/tests/config_effect.rs
+++ b/tests/config_effect.rs
@@ -342,11 +342,19 @@
 async fn starting_node_refuses_without_configuration() -> Result {
     let dir = tempfile::tempdir()?;
     let (mut fleet, _path) = start(&dir).await?;
+    fleet.endpoint("engine", "engines", "dk-a", &[])?;
+    fleet.register().await?;
+    // The list of VMs is read every 500 ms.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     fleet.control("POST", "/control/faults", &json!({ "outage": true })).await?;
     fleet.entries[1].process.kill();
     fleet.restart(1)?;
-    // Peers give the configuration.
+    // Peers give the configuration and the list of VMs.
     fleet.ready(1).await?;
+    let body = common::chat("hello", 2, false);
+    let callers = fleet.entries[1].callers;
+    let served = common::send(callers, "POST", "/v1/chat/completions", &[], &body).await?;
+    assert_eq!(served.status, 200, "{}", served.text());
     for index in 0..5 {
         fleet.entries[index].process.kill();
     }
