Fall back to the old version when the new one has no usable endpoint

Change: the choice falls back to the old version, and a version that failed a request stays avoided for that request.

--- a/src/caller/plain/lookup.rs
+++ b/src/caller/plain/lookup.rs
@@ -143,7 +143,9 @@
     /// its version.
     fn leave(&mut self, flight: &Flight) {
         self.wish.exclude.push(flight.vm.clone());
-        self.wish.avoid = flight.fallback.is_some().then(|| flight.version.clone());
+        if flight.fallback.is_some() {
+            self.wish.avoid = Some(flight.version.clone());
+        }
     }
 }
 
--- a/src/caller/pump.rs
+++ b/src/caller/pump.rs
@@ -141,7 +141,9 @@
             source = Some((vm.clone(), address));
         }
         wish.exclude.push(vm);
-        wish.avoid = fallback.map(|_| version);
+        if fallback.is_some() {
+            wish.avoid = Some(version);
+        }
         let pause = if matches!(stop, Stop::Leaving) {
             Duration::ZERO
         } else {
--- a/src/caller/target.rs
+++ b/src/caller/target.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, Kind, Result};
 use crate::resource::Catalog;
 use crate::rollout::{self, Split};
-use crate::routing::Key;
+use crate::routing::{Candidate, Key};
 use crate::timeline::Subject;
 
 /// Names the header by which an engine reports running and queued requests.
@@ -84,17 +84,15 @@
     {
         choice.version = fallback;
     }
-    let pool = catalog.version(&choice.version).map(|version| version.pool.clone());
-    let pool = pool.ok_or_else(missing)?;
-    let now = node.now();
-    let key = Key { blocks: &wish.blocks, seed: wish.hash ^ node.tick() };
-    let candidate = node.with_table(&pool, |table| {
-        let candidate = table.choose(now, key, &wish.exclude)?;
-        table.started(now, &candidate.id);
-        let in_flight = table.in_flight(&candidate.id);
-        Some((candidate, in_flight))
-    });
-    let (candidate, in_flight) = candidate.ok_or_else(missing)?;
+    let place = match place(node, catalog, &choice.version, wish) {
+        Some(place) => place,
+        // A new version whose endpoints are all left out after failures must not fail its callers.
+        None => {
+            choice.version = choice.fallback.take().ok_or_else(missing)?;
+            place(node, catalog, &choice.version, wish).ok_or_else(missing)?
+        }
+    };
+    let Place { pool, candidate, in_flight } = place;
     Ok(Flight {
         node: node.clone(),
         vm: candidate.id,
@@ -111,6 +109,28 @@
     })
 }
 
+/// Holds an endpoint that counts one more request from now on.
+struct Place {
+    pool: Arc<str>,
+    candidate: Candidate,
+    /// Requests of this node at the endpoint, this one included.
+    in_flight: u32,
+}
+
+/// Takes a place at an endpoint of one version.
+fn place(node: &Node, catalog: &Catalog, version: &str, wish: &Wish) -> Option<Place> {
+    let pool = catalog.version(version)?.pool.clone();
+    let now = node.now();
+    let key = Key { blocks: &wish.blocks, seed: wish.hash ^ node.tick() };
+    let (candidate, in_flight) = node.with_table(&pool, |table| {
+        let candidate = table.choose(now, key, &wish.exclude)?;
+        table.started(now, &candidate.id);
+        let in_flight = table.in_flight(&candidate.id);
+        Some((candidate, in_flight))
+    })?;
+    Some(Place { pool, candidate, in_flight })
+}
+
 /// Tells whether a service has any endpoint, be it left out after failures for a moment.
 pub fn exists(node: &Node, catalog: &Catalog, service: &str) -> bool {
     let version = catalog.serving(service).and_then(|name| catalog.version(&name));
