--- a/src/membership.rs
+++ b/src/membership.rs
@@ -270,7 +270,7 @@
         due
     }
 
-    /// Takes in one piece of news; `sent` is where the count of its transmissions starts.
+    /// Takes in one update; `sent` is where the count of its transmissions starts.
     fn apply(&mut self, update: Member, sent: u32, now: Duration) {
         if update.node == self.me.node {
             self.hear_about_me(&update);
@@ -354,7 +354,7 @@
         self.note_change(node, digest, 0, now);
     }
 
-    /// Gives how often one piece of news is sent: about 3 log2 n.
+    /// Gives how often one update is sent: about 3 log2 n.
     fn limit(&self) -> u32 {
         3 * (self.members.len() + 2).next_power_of_two().ilog2()
     }
--- a/src/membership/queue.rs
+++ b/src/membership/queue.rs
@@ -6,14 +6,14 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-/// Counts how often the latest news about each node was sent; one entry per node bounds it.
+/// Counts how often the latest update about each node was sent; one entry per node bounds it.
 #[derive(Debug, Default)]
 pub struct Queue {
     sent: BTreeMap<Arc<str>, u32>,
 }
 
 impl Queue {
-    /// Starts to spread news about a node, as if it had been sent `sent` times before.
+    /// Starts to spread an update about a node, as if it had been sent `sent` times before.
     pub fn push(&mut self, node: Arc<str>, sent: u32) {
         self.sent.insert(node, sent);
     }
@@ -22,7 +22,7 @@
         self.sent.remove(node);
     }
 
-    /// Takes up to `count` nodes with the least sent news and drops those sent `limit` times.
+    /// Takes up to `count` nodes with the least sent updates and drops those sent `limit` times.
     ///
     /// Ties are broken at random; otherwise all nodes would spread the same few names first.
     pub fn take(&mut self, count: usize, limit: u32, rng: &mut SmallRng) -> Vec<Arc<str>> {
@@ -42,7 +42,7 @@
         taken
     }
 
-    /// Counts one transmission of the news about a node, by this node or by another.
+    /// Counts one transmission of the update about a node, by this node or by another.
     pub fn hear(&mut self, node: &str, limit: u32) {
         let Some(sent) = self.sent.get_mut(node) else { return };
         *sent += 1;
--- a/src/peer/datagram.rs
+++ b/src/peer/datagram.rs
@@ -97,7 +97,7 @@
             let mut datagram = Datagram { revision, marks, content };
             match self.codec.seal(&datagram) {
                 Ok(bytes) => return self.transmit(address, &bytes).await,
-                Err(wire::Error::Oversize) if halve_news(&mut datagram.content) => {
+                Err(wire::Error::Oversize) if halve_updates(&mut datagram.content) => {
                     content = datagram.content;
                 }
                 Err(error) => {
@@ -163,8 +163,8 @@
     }
 }
 
-/// Halves the news in a datagram that names of unusual length have made too large.
-fn halve_news(content: &mut Content) -> bool {
+/// Halves the updates in a datagram that names of unusual length have made too large.
+fn halve_updates(content: &mut Content) -> bool {
     let Content::Probe(message) = content else { return false };
     let updates = &mut message.updates.0;
     let shortened = !updates.is_empty();
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -113,10 +113,6 @@
         entries.len() < self.limit / 2
     }
 
-    pub fn remove(&self, id: &str) {
-        self.lock().remove(id);
-    }
-
     /// Lists the streams that this node carries and that have not ended.
     pub fn unfinished(&self) -> Vec<Arc<Entry>> {
         let entries = self.lock();
