--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -28,6 +28,7 @@
     proxied.reach_directly();
     let summary = proof::check(&outcomes, &proof::executions(&proxied.fleet).await?);
     assert!(summary.answered + summary.unknown >= 800, "refused for good: {summary:?}");
+    assert!(summary.answered >= 1_150, "bookings were lost on silent connections: {summary:?}");
     Ok(())
 }
 
