--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -34,9 +35,24 @@
     Unknown(String),
 }
 
+/// Times of the keep-alive probes on the TCP level, which close a connection that went silent.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Tells how an idle connection is shown to be alive before it is used again.
+#[derive(Debug, Clone, Copy)]
+enum Proof {
+    /// By a request that any HTTP server answers.
+    Probe,
+    /// By probes on the TCP level; idle connections are used up to this age.
+    Age(Duration),
+}
+
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
+    proof: Proof,
     idle: Mutex<Vec<Connection>>,
 }
 
@@ -56,7 +72,12 @@
 
 impl Pool {
     pub fn new(address: SocketAddr) -> Pool {
-        Pool { address, idle: Mutex::default() }
+        Pool { address, proof: Proof::Probe, idle: Mutex::default() }
+    }
+
+    /// Makes a pool for servers that must get no requests but those of callers.
+    pub fn unprobed(address: SocketAddr, idle_limit: Duration) -> Pool {
+        Pool { address, proof: Proof::Age(idle_limit), idle: Mutex::default() }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -80,6 +101,9 @@
     pub async fn checkout_within(&self, proof: Duration) -> Result<Connection, Failure> {
         if let Some(mut connection) = self.pop() {
             let asked = Instant::now();
+            if matches!(self.proof, Proof::Age(_)) {
+                return Ok(connection);
+            }
             if connection.proved.elapsed() < proof || connection.probe().await {
                 return Ok(connection);
             }
@@ -115,7 +139,13 @@
 
     fn pop(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|connection| !connection.sender.is_closed());
+        idle.retain(|connection| {
+            let fresh = match self.proof {
+                Proof::Probe => true,
+                Proof::Age(limit) => connection.proved.elapsed() < limit,
+            };
+            fresh && !connection.sender.is_closed()
+        });
         idle.pop()
     }
 
@@ -123,6 +153,13 @@
         let connect = async {
             let stream = TcpStream::connect(self.address).await?;
             stream.set_nodelay(true)?;
+            if matches!(self.proof, Proof::Age(_)) {
+                let keepalive = TcpKeepalive::new()
+                    .with_time(KEEPALIVE_IDLE)
+                    .with_interval(KEEPALIVE_INTERVAL)
+                    .with_retries(KEEPALIVE_PROBES);
+                SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+            }
             http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
         };
         let (sender, driver) = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,165 @@
+//! Follows the operators' declarations and the list of endpoints in the platform's store.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::gateway::clock;
+use crate::gateway::node::Node;
+use crate::gateway::platform::{Change, Declaration, Follow};
+use crate::platform::Failure;
+
+/// Time for which the store may hold a call on declarations; each answer confirms the keys.
+const DECLARATION_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which the store may hold a call on endpoints.
+const ENDPOINT_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause between two reads of endpoints: their regular reports change the list all the time, and
+/// a leaving endpoint has to be known well within the drain bound.
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows the declarations until the process ends.
+pub async fn declarations(node: Rc<Node>) {
+    let mut after = None;
+    let mut connected = true;
+    loop {
+        let sent = clock::now();
+        let follow = Follow { after, wait: DECLARATION_WAIT };
+        match (node.platform.declarations)(follow).await {
+            Ok(batch) => {
+                note_connection(&mut connected, true, "declarations", "");
+                node.confirmed.set(Some(sent));
+                after = Some(batch.version);
+                for declaration in batch.changes {
+                    declare(&node, declaration);
+                }
+            }
+            Err(failure) => {
+                note_connection(&mut connected, false, "declarations", &failure.to_string());
+                if is_history_gone(&failure) {
+                    after = None;
+                } else {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Names the reason for which a follower has to read everything again.
+pub const HISTORY_GONE: &str = "the history is gone";
+
+fn is_history_gone(failure: &Failure) -> bool {
+    matches!(failure, Failure::NotRun(reason) if reason == HISTORY_GONE)
+}
+
+fn note_connection(connected: &mut bool, now: bool, what: &str, reason: &str) {
+    if *connected != now {
+        *connected = now;
+        let event = if now { "store_regained" } else { "store_lost" };
+        log::warn!("follow: event={event} reads={what} reason=\"{reason}\"");
+    }
+}
+
+fn declare(node: &Rc<Node>, declaration: Declaration) {
+    match declaration {
+        Declaration::Catalog(catalog) => {
+            let known = node.catalog().map(|catalog| catalog.version);
+            if known.is_some_and(|known| catalog.version <= known) {
+                return;
+            }
+            let version = catalog.version;
+            let now = clock::now();
+            node.quotas.borrow_mut().configure(&catalog.tenants, now);
+            *node.catalog.borrow_mut() = Some(Arc::from(catalog));
+            node.wake_all();
+            log::info!("follow: event=catalog version={version} before={known:?}");
+        }
+        Declaration::Rollout { service, version, within, revision } => {
+            log::info!(
+                "follow: event=rollout service={service} to={version} within={within:?} \
+                 revision={revision}"
+            );
+            let now = clock::now();
+            node.shifts.borrow_mut().order(service, version, within, revision, now);
+        }
+    }
+}
+
+/// Follows the list of endpoints until the process ends.
+pub async fn endpoints(node: Rc<Node>) {
+    let mut after = None;
+    let mut connected = true;
+    loop {
+        let follow = Follow { after, wait: ENDPOINT_WAIT };
+        match (node.platform.endpoints)(follow).await {
+            Ok(batch) => {
+                note_connection(&mut connected, true, "endpoints", "");
+                after = Some(batch.version);
+                apply(&node, batch.changes, batch.complete);
+                node.listed.set(true);
+                tokio::time::sleep(ENDPOINT_PAUSE).await;
+            }
+            Err(failure) => {
+                note_connection(&mut connected, false, "endpoints", &failure.to_string());
+                if is_history_gone(&failure) {
+                    after = None;
+                    continue;
+                }
+                node.roster.borrow_mut().record_trouble(clock::now());
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn apply(node: &Rc<Node>, changes: Vec<Change>, complete: bool) {
+    let now = clock::now();
+    let mut roster = node.roster.borrow_mut();
+    roster.expire(now);
+    if complete {
+        roster.replace(changes, now);
+    } else {
+        for change in changes {
+            if let Change::Seen(endpoint) = &change {
+                note_change(&roster, endpoint, node);
+            }
+            if let Some(id) = roster.apply(change, now) {
+                log::debug!("follow: event=endpoint_leaving endpoint={id}");
+            }
+        }
+    }
+    node.board.borrow_mut().retain(|id| roster.get(id).is_some());
+    node.links.retain(|id| roster.get(id).is_some());
+    drop(roster);
+    node.leaving.notify_waiters();
+    node.wake_all();
+}
+
+fn note_change(
+    roster: &crate::gateway::roster::Roster,
+    endpoint: &crate::gateway::platform::Endpoint,
+    node: &Rc<Node>,
+) {
+    let before = roster.get(&endpoint.id).map(|entry| &entry.endpoint);
+    match before {
+        None => log::info!(
+            "follow: event=endpoint_new endpoint={} service={} domain={} reclaimable={}",
+            endpoint.id,
+            endpoint.service,
+            endpoint.domain,
+            endpoint.reclaimable
+        ),
+        Some(before) if before.draining != endpoint.draining => log::info!(
+            "follow: event=endpoint_state endpoint={} draining={} reclaimable={}",
+            endpoint.id,
+            endpoint.draining,
+            endpoint.reclaimable
+        ),
+        Some(before) if before.born_ms != endpoint.born_ms => {
+            node.board.borrow_mut().forget_cache(&endpoint.id);
+        }
+        Some(_) => {}
+    }
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,502 @@
+//! Sends a request to endpoints until there is a final answer.
+//!
+//! A request that must not run twice goes to a second endpoint only when the first one proved that
+//! it did not run: no byte was sent, or the endpoint says so. Its caller gets 503 only with the same
+//! proof; see `docs/platform.md`.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use smallvec::SmallVec;
+use tokio::sync::Notify;
+
+use crate::endpoint::pool::{Failure, Lent};
+use crate::gateway::catalog::Kind;
+use crate::gateway::clock;
+use crate::gateway::handle::{self, Active, Ask, Refusal};
+use crate::gateway::node::Node;
+use crate::gateway::place::{Candidate, Choice, Job, Load};
+use crate::gateway::platform::{Dispatch, Endpoint};
+use crate::gateway::pump;
+use crate::gateway::queue;
+use crate::gateway::refusal::Cause;
+use crate::gateway::relay::{Body, Splitter};
+
+/// Largest answer of a plain service that is held in memory.
+const ANSWER_BYTES: usize = 16 << 20;
+/// Endpoints tried one after the other when connections can't be made.
+const CONNECT_TRIES: usize = 4;
+/// Advice after an endpoint has refused a request.
+const REFUSED_ADVICE: Duration = Duration::from_millis(150);
+/// Advice when a service has no endpoint; new ones take seconds to start.
+const NO_ENDPOINT_ADVICE: Duration = Duration::from_millis(800);
+
+/// Counts a request on its endpoint until it is dropped.
+#[derive(Debug)]
+pub struct Placed {
+    node: Rc<Node>,
+    pub endpoint: Endpoint,
+    load: Load,
+    pub predicted: Duration,
+    pub began: Duration,
+}
+
+impl Placed {
+    /// Records that the prompt was read.
+    pub fn first_event(&mut self) {
+        self.node.board.borrow_mut().first_event(&self.endpoint.id, &mut self.load);
+        let took = clock::now().saturating_sub(self.began);
+        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
+            health.record_pace(took, self.predicted);
+            health.record_success();
+        }
+    }
+
+    pub fn record_success(&self) {
+        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
+            health.record_success();
+        }
+    }
+
+    pub fn record_failure(&self) {
+        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
+            health.record_failure(clock::now());
+        }
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.node.board.borrow_mut().end(&self.endpoint.id, self.load);
+        self.node.release(&self.endpoint.service);
+    }
+}
+
+/// Holds a request's place in the queue until it is dropped.
+struct Turn {
+    node: Rc<Node>,
+    service: Arc<str>,
+    rank: queue::Rank,
+    notify: Rc<Notify>,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some(waiting) = self.node.waiting.borrow_mut().get_mut(&self.service) {
+            waiting.leave(&self.rank);
+            // The place that this request didn't take is free for the next one.
+            waiting.wake(1);
+        }
+    }
+}
+
+/// Remembers what has happened to a request so far.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Endpoints that were tried.
+    pub tried: SmallVec<[Arc<str>; 4]>,
+    /// Endpoints that the request was sent to.
+    pub sent: u32,
+    /// Set once the request may have run.
+    pub may_have_run: bool,
+}
+
+/// Tells how one try at an endpoint ended.
+#[derive(Debug)]
+pub enum Attempt {
+    Answer(Response<Body>),
+    Stream(Box<Open>),
+    /// No byte was sent.
+    Unsent(String),
+    /// The endpoint says that it did not run the request.
+    Refused(String),
+    /// The request may have run.
+    Unknown(String),
+    TimedOut,
+}
+
+/// A stream whose first event has come.
+#[derive(Debug)]
+pub struct Open {
+    pub response: Response<()>,
+    pub body: Incoming,
+    pub lent: Lent,
+    pub splitter: Splitter,
+    /// The first events; empty when the stream ended without any.
+    pub first: Bytes,
+    pub ended: bool,
+    pub placed: Placed,
+}
+
+/// Serves a request that may run.
+pub async fn run(node: Rc<Node>, ask: Ask, active: Active) -> Response<Body> {
+    node.budget.borrow_mut().record_request(&ask.service, clock::now());
+    let mut history = History::default();
+    loop {
+        let placed = match place(&node, &ask, &history.tried).await {
+            Ok(placed) => placed,
+            Err(refusal) => return give_up(&node, &ask, &history, refusal),
+        };
+        let endpoint = placed.endpoint.id.clone();
+        history.tried.push(endpoint.clone());
+        history.sent += 1;
+        let attempt = attempt(&node, &ask, placed, None).await;
+        let refusal = match attempt {
+            Attempt::Answer(response) => {
+                let repeat = response.status().is_server_error() && ask.route.is_repeatable();
+                if repeat && may_repeat(&node, &ask, &mut history, &endpoint, "endpoint_error") {
+                    continue;
+                }
+                let status = response.status().as_u16();
+                let class = if status < 400 { "answered" } else { "endpoint_error" };
+                node.metrics.record_outcome(&ask.route.name, class);
+                node.metrics.record_latency(&ask.route.name, clock::now() - ask.arrived);
+                return response;
+            }
+            Attempt::Stream(open) => return pump::start(node, ask, history, *open, active),
+            Attempt::Unsent(reason) => {
+                note(&ask, &endpoint, "unsent", &reason);
+                history.sent -= 1;
+                if history.tried.len() < CONNECT_TRIES {
+                    continue;
+                }
+                (Cause::NotRun, Some(queue::spread(REFUSED_ADVICE, ask.hash)))
+            }
+            Attempt::Refused(reason) => {
+                note(&ask, &endpoint, "endpoint_refused", &reason);
+                if may_repeat(&node, &ask, &mut history, &endpoint, "endpoint_refused") {
+                    continue;
+                }
+                (Cause::NotRun, Some(queue::spread(REFUSED_ADVICE, ask.hash)))
+            }
+            Attempt::Unknown(reason) => {
+                note(&ask, &endpoint, "unknown", &reason);
+                history.may_have_run = true;
+                let repeatable = ask.route.is_repeatable();
+                if repeatable && may_repeat(&node, &ask, &mut history, &endpoint, "unknown") {
+                    continue;
+                }
+                (Cause::Unknown, None)
+            }
+            Attempt::TimedOut => {
+                history.may_have_run = true;
+                (Cause::Timeout, None)
+            }
+        };
+        return give_up(&node, &ask, &history, refusal);
+    }
+}
+
+/// Answers for good; the answer says "not run" only if that is proved.
+fn give_up(node: &Node, ask: &Ask, history: &History, refusal: Refusal) -> Response<Body> {
+    let (cause, after) = match refusal {
+        (Cause::Timeout | Cause::Unknown, _) => refusal,
+        _ if history.may_have_run => (Cause::Unknown, None),
+        _ => refusal,
+    };
+    if !history.may_have_run
+        && let Some(tenant) = &ask.tenant
+    {
+        node.quotas.borrow_mut().give_back(&tenant.name, ask.units);
+    }
+    handle::refuse(node, cause, after, &ask.demand.id, &ask.route.name, ask.arrived)
+}
+
+fn note(ask: &Ask, endpoint: &str, event: &str, reason: &str) {
+    log::info!(
+        "forward: event={event} id={} route={} endpoint={endpoint} reason=\"{reason}\"",
+        ask.demand.id,
+        ask.route.name
+    );
+}
+
+/// Decides whether a request goes to one more endpoint, and takes it from the budget.
+pub fn may_repeat(
+    node: &Node,
+    ask: &Ask,
+    history: &mut History,
+    endpoint: &str,
+    reason: &str,
+) -> bool {
+    let now = clock::now();
+    if history.sent >= ask.route.max_attempts || now >= ask.until {
+        return false;
+    }
+    let nodes = node.peers.borrow().count(now);
+    let taken = node.budget.borrow_mut().take(&ask.service, nodes, now);
+    log::info!(
+        "forward: event=repeat id={} after={endpoint} reason={reason} sent={} granted={taken}",
+        ask.demand.id,
+        history.sent
+    );
+    node.metrics.record_repeat(&ask.service, taken);
+    taken
+}
+
+/// Finds an endpoint for a request, or waits for room at one.
+///
+/// # Errors
+///
+/// Gives the refusal when the request can't be served in time.
+pub async fn place(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Result<Placed, Refusal> {
+    let latest = ask.until.min(ask.arrived + ask.route.target_latency);
+    let latest = if tried.is_empty() { latest } else { ask.until };
+    let mut turn: Option<Turn> = None;
+    loop {
+        let now = clock::now();
+        let is_next = is_next(node, ask, turn.as_ref());
+        match is_next.then(|| choose(node, ask, tried, now)) {
+            Some(Chosen::Endpoint(placed)) => return Ok(placed),
+            Some(Chosen::NoEndpoint) => {
+                return Err((Cause::NoEndpoint, Some(queue::spread(NO_ENDPOINT_ADVICE, ask.hash))));
+            }
+            Some(Chosen::Full) | None => {}
+        }
+        let advice = |after| (Cause::Busy, Some(queue::spread(after, ask.hash)));
+        match &turn {
+            None => turn = Some(join(node, ask, latest, now).map_err(advice)?),
+            Some(turn) if is_hopeless(node, turn, now) => {
+                let waiting = node.waiting.borrow();
+                let after = waiting.get(&ask.service).map(|it| it.queue.retry_after());
+                return Err(advice(after.unwrap_or(REFUSED_ADVICE)));
+            }
+            Some(_) => {}
+        }
+        if let Some(turn) = &turn {
+            let left = latest.saturating_sub(clock::now());
+            // A wake-up and the end of the time both lead to a new decision.
+            let _ = tokio::time::timeout(left, turn.notify.notified()).await;
+        }
+    }
+}
+
+fn is_next(node: &Node, ask: &Ask, turn: Option<&Turn>) -> bool {
+    let waiting = node.waiting.borrow();
+    let Some(waiting) = waiting.get(&ask.service) else { return true };
+    match turn {
+        None => waiting.queue.is_first(ask.priority),
+        Some(turn) => waiting.queue.ranks().next() == Some(turn.rank),
+    }
+}
+
+fn is_hopeless(node: &Node, turn: &Turn, now: Duration) -> bool {
+    let waiting = node.waiting.borrow();
+    waiting.get(&turn.service).is_none_or(|it| it.queue.hopeless(now).contains(&turn.rank))
+}
+
+fn join(node: &Rc<Node>, ask: &Ask, latest: Duration, now: Duration) -> Result<Turn, Duration> {
+    let mut all = node.waiting.borrow_mut();
+    let waiting = all.entry(ask.service.clone()).or_default();
+    let rank = waiting.queue.join(ask.priority, latest, now)?;
+    let notify = Rc::new(Notify::new());
+    waiting.turns.insert(rank.serial, notify.clone());
+    // An urgent request may leave too little time to those behind it.
+    for rank in waiting.queue.hopeless(now) {
+        if let Some(turn) = waiting.turns.get(&rank.serial) {
+            turn.notify_one();
+        }
+    }
+    let service = ask.service.clone();
+    Ok(Turn { node: node.clone(), service, rank, notify })
+}
+
+enum Chosen {
+    Endpoint(Placed),
+    Full,
+    NoEndpoint,
+}
+
+fn choose(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>], now: Duration) -> Chosen {
+    let catalog = node.catalog();
+    let engine = catalog.as_ref().and_then(|it| it.services.get(&ask.service)?.engine);
+    let roster = node.roster.borrow();
+    let version = node.shifts.borrow().version(&ask.service, ask.hash);
+    let fits = |entry: &&crate::gateway::roster::Entry| {
+        !tried.contains(&entry.endpoint.id)
+            && version.as_ref().is_none_or(|version| version.admits(&entry.endpoint.version))
+    };
+    let mut entries: SmallVec<[_; 32]> =
+        roster.of(&ask.service).filter(fits).filter(|entry| entry.is_usable(now)).collect();
+    if entries.is_empty() {
+        // Endpoints that seem to fail are still better than none.
+        entries = roster.of(&ask.service).filter(fits).filter(|entry| entry.is_listed()).collect();
+    }
+    if entries.is_empty() {
+        return Chosen::NoEndpoint;
+    }
+    let job = Job { prompt: ask.demand.prompt.as_ref(), hash: ask.hash };
+    let candidates = entries
+        .iter()
+        .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
+    let domain = &node.settings.failure_domain;
+    let mut board = node.board.borrow_mut();
+    let choice = board.choose(job, domain, candidates, engine.as_ref(), now);
+    let Some(choice) = choice else { return Chosen::Full };
+    board.begin(&choice, job.prompt, now);
+    let Choice { endpoint, load, predicted } = choice;
+    let Some(entry) = roster.get(&endpoint) else { return Chosen::NoEndpoint };
+    let endpoint = entry.endpoint.clone();
+    Chosen::Endpoint(Placed { node: node.clone(), endpoint, load, predicted, began: now })
+}
+
+/// Sends a request to one endpoint and waits for the answer, or for the first event of a stream.
+pub async fn attempt(
+    node: &Rc<Node>,
+    ask: &Ask,
+    placed: Placed,
+    last_event: Option<Arc<str>>,
+) -> Attempt {
+    let left = ask.until.saturating_sub(clock::now());
+    match tokio::time::timeout(left, exchange(node, ask, placed, last_event)).await {
+        Ok(attempt) => attempt,
+        Err(_) => Attempt::TimedOut,
+    }
+}
+
+fn build(
+    node: &Node,
+    ask: &Ask,
+    endpoint: &Endpoint,
+    last_event: Option<Arc<str>>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(ask.body.clone()));
+    *request.method_mut() = ask.head.method.clone();
+    *request.uri_mut() = ask.head.uri.clone();
+    *request.headers_mut() = ask.head.headers.clone();
+    let now = clock::now();
+    let dispatch = Dispatch {
+        endpoint: endpoint.id.clone(),
+        tenant: ask.tenant.as_ref().map(|tenant| tenant.name.clone()),
+        left: ask.deadline.unwrap_or(ask.until).min(ask.until).saturating_sub(now),
+        priority: ask.demand.prompt.is_some().then_some(ask.priority.min(9)),
+        last_event: last_event.or_else(|| ask.demand.last_event.clone()),
+    };
+    (node.dialect.dispatch)(request.headers_mut(), &dispatch);
+    request
+}
+
+async fn exchange(
+    node: &Rc<Node>,
+    ask: &Ask,
+    placed: Placed,
+    last_event: Option<Arc<str>>,
+) -> Attempt {
+    let pool = node.links.pool(&placed.endpoint.id, placed.endpoint.address);
+    let mut connection = match pool.checkout().await {
+        Ok(connection) => connection,
+        Err(Failure::NotRun(reason) | Failure::Unknown(reason)) => {
+            placed.record_failure();
+            return Attempt::Unsent(reason);
+        }
+    };
+    let request = build(node, ask, &placed.endpoint, last_event);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(Failure::NotRun(reason)) => return Attempt::Unsent(reason),
+        Err(Failure::Unknown(reason)) => {
+            placed.record_failure();
+            return Attempt::Unknown(reason);
+        }
+    };
+    let reply = (node.dialect.reply)(response.status(), response.headers());
+    if reply.id.as_ref().is_some_and(|id| *id != ask.demand.id) {
+        return Attempt::Unknown("the answer belongs to another request".to_owned());
+    }
+    let lent = Lent::new(pool, connection);
+    if reply.not_run {
+        let status = response.status();
+        drain(response.into_body(), lent).await;
+        return Attempt::Refused(format!("status {}", status.as_u16()));
+    }
+    if !reply.sealed {
+        placed.record_failure();
+        let status = response.status().as_u16();
+        return Attempt::Unknown(format!("an answer of status {status} without a seal"));
+    }
+    if ask.route.kind == Kind::Stream && response.status().is_success() {
+        return open(response, lent, placed).await;
+    }
+    whole(node, ask, response, lent, placed).await
+}
+
+/// Reads a small answer to its end, so that its connection can be used again.
+async fn drain(body: Incoming, mut lent: Lent) {
+    if Limited::new(body, 4_096).collect().await.is_ok() {
+        lent.release();
+    }
+}
+
+async fn whole(
+    node: &Node,
+    ask: &Ask,
+    response: Response<Incoming>,
+    mut lent: Lent,
+    placed: Placed,
+) -> Attempt {
+    let (mut head, body) = response.into_parts();
+    let body = match Limited::new(body, ANSWER_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            placed.record_failure();
+            return Attempt::Unknown(format!("the answer broke off: {error}"));
+        }
+    };
+    // An endpoint may answer before it has read a long body and take the rest for a request.
+    if head.status.is_success() || ask.body.len() < 4_096 {
+        lent.release();
+    }
+    record_usage(node, ask, placed.began);
+    if head.status.is_server_error() {
+        // A service may fail single requests by itself; the share of failures tells.
+        placed.record_failure();
+    } else {
+        placed.record_success();
+    }
+    (node.dialect.relay)(&mut head.headers);
+    Attempt::Answer(Response::from_parts(head, Body::whole(body)))
+}
+
+/// Counts a request of a tenant in the window in which it began to run.
+pub fn record_usage(node: &Node, ask: &Ask, began: Duration) {
+    if let Some(tenant) = &ask.tenant {
+        let ago = clock::now().saturating_sub(began).as_millis() as u64;
+        let window = (node.true_ms() - ago) / node.settings.bounds.report_window_ms();
+        node.usage.borrow_mut().record(window, &tenant.name);
+    }
+}
+
+/// Waits for the first event: until then another endpoint may still be tried.
+async fn open(response: Response<Incoming>, mut lent: Lent, mut placed: Placed) -> Attempt {
+    let (head, mut body) = response.into_parts();
+    let mut splitter = Splitter::default();
+    let response = Response::from_parts(head, ());
+    loop {
+        let first = match body.frame().await {
+            Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(data)),
+            None if splitter.is_whole() => {
+                lent.release();
+                let first = Bytes::new();
+                let open = Open { response, body, lent, splitter, first, ended: true, placed };
+                return Attempt::Stream(Box::new(open));
+            }
+            None => {
+                placed.record_failure();
+                return Attempt::Unknown("the stream ended within its first event".to_owned());
+            }
+            Some(Err(error)) => {
+                placed.record_failure();
+                return Attempt::Unknown(format!("the stream broke off: {error}"));
+            }
+        };
+        if let Some(first) = first {
+            placed.first_event();
+            let open = Open { response, body, lent, splitter, first, ended: false, placed };
+            return Attempt::Stream(Box::new(open));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/node.rs
@@ -0,0 +1,163 @@
+//! State of one node of the gateway, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::gateway::budget::{Budget, Rule};
+use crate::gateway::catalog::Catalog;
+use crate::gateway::link::Links;
+use crate::gateway::peers::Peers;
+use crate::gateway::place::Board;
+use crate::gateway::platform::{Dialect, Platform};
+use crate::gateway::queue::{Queue, Rank};
+use crate::gateway::quota::Quotas;
+use crate::gateway::roster::Roster;
+use crate::gateway::settings::Settings;
+use crate::gateway::shift::Shifts;
+use crate::gateway::usage::Usage;
+use crate::gateway::{clock, metrics};
+
+/// Waiting requests of one service, each with the signal that it may try again.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    pub queue: Queue,
+    pub turns: HashMap<u64, Rc<Notify>>,
+}
+
+impl Waiting {
+    /// Wakes the requests that are next in turn.
+    pub fn wake(&self, count: usize) {
+        for rank in self.queue.ranks().take(count) {
+            if let Some(turn) = self.turns.get(&rank.serial) {
+                turn.notify_one();
+            }
+        }
+    }
+
+    pub fn leave(&mut self, rank: &Rank) {
+        self.queue.leave(rank);
+        self.turns.remove(&rank.serial);
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub settings: Settings,
+    pub platform: Platform,
+    pub dialect: Dialect,
+    /// Tells this start of the node apart from others: the wall clock at its start.
+    pub start: u64,
+    pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Time before the last successful read of the declarations was sent.
+    pub confirmed: Cell<Option<Duration>>,
+    pub roster: RefCell<Roster>,
+    /// Set once the list of endpoints was read.
+    pub listed: Cell<bool>,
+    pub board: RefCell<Board>,
+    pub quotas: RefCell<Quotas>,
+    pub budget: RefCell<Budget>,
+    pub usage: RefCell<Usage>,
+    pub shifts: RefCell<Shifts>,
+    pub peers: RefCell<Peers>,
+    pub waiting: RefCell<HashMap<Arc<str>, Waiting>>,
+    pub links: Links,
+    pub metrics: metrics::Registry,
+    /// Difference between true time since 1970 and `clock::now`, in milliseconds.
+    pub epoch_ms: Cell<i64>,
+    /// Set when the process has got SIGTERM.
+    pub stopping: Cell<bool>,
+    pub stop: Notify,
+    /// Requests being served.
+    pub active: Cell<usize>,
+    /// Signalled when an endpoint is found to be leaving.
+    pub leaving: Notify,
+}
+
+impl Node {
+    pub fn new(settings: Settings, platform: Platform, dialect: Dialect) -> Rc<Node> {
+        let bounds = &settings.bounds;
+        let rule = Rule {
+            ratio: bounds.retry_ratio,
+            window: bounds.retry_window,
+            slack: bounds.retry_slack,
+        };
+        let wall = clock::wall_ms();
+        let start = wall.unsigned_abs();
+        let peers = Peers::new(settings.node.clone(), start);
+        Rc::new(Node {
+            start,
+            platform,
+            dialect,
+            catalog: RefCell::default(),
+            confirmed: Cell::default(),
+            roster: RefCell::default(),
+            listed: Cell::default(),
+            board: RefCell::default(),
+            quotas: RefCell::new(Quotas::new()),
+            budget: RefCell::new(Budget::new(rule)),
+            usage: RefCell::default(),
+            shifts: RefCell::default(),
+            peers: RefCell::new(peers),
+            waiting: RefCell::default(),
+            links: Links::default(),
+            metrics: metrics::Registry::new(),
+            epoch_ms: Cell::new(wall - clock::now().as_millis() as i64),
+            stopping: Cell::default(),
+            stop: Notify::new(),
+            active: Cell::default(),
+            leaving: Notify::new(),
+            settings,
+        })
+    }
+
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Gives the age of what is known about keys; `None` before the first read.
+    pub fn key_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed.get().map(|confirmed| now.saturating_sub(confirmed))
+    }
+
+    /// Tells whether the node can show that its keys are valid.
+    pub fn keys_are_fresh(&self, now: Duration) -> bool {
+        self.key_age(now).is_some_and(|age| age < self.settings.bounds.key_age())
+    }
+
+    /// Tells whether the load balancer may send new connections.
+    pub fn is_ready(&self) -> bool {
+        let known = self.catalog.borrow().is_some() && self.listed.get();
+        known && !self.stopping.get() && self.keys_are_fresh(clock::now())
+    }
+
+    /// Gives true time since 1970 in milliseconds, whatever the steps of this VM's clock.
+    pub fn true_ms(&self) -> u64 {
+        (clock::now().as_millis() as i64 + self.epoch_ms.get()).unsigned_abs()
+    }
+
+    /// Gives the window of usage reports that a moment belongs to.
+    pub fn window(&self) -> u64 {
+        self.true_ms() / self.settings.bounds.report_window_ms()
+    }
+
+    /// Lets waiting requests of a service try again, after a place has become free.
+    pub fn release(&self, service: &str) {
+        let mut waiting = self.waiting.borrow_mut();
+        if let Some(waiting) = waiting.get_mut(service) {
+            waiting.queue.record_release(clock::now());
+            waiting.wake(1);
+        }
+    }
+
+    /// Lets all waiting requests try again, after the endpoints or their loads have changed.
+    pub fn wake_all(&self) {
+        for waiting in self.waiting.borrow().values() {
+            waiting.wake(usize::MAX);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,297 @@
+//! What the nodes tell each other over UDP, several times a second.
+//!
+//! Each node sends its whole state of interest, so that a lost datagram is made good by the next.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::gateway::clock;
+use crate::gateway::node::Node;
+use crate::gateway::place::Load;
+use crate::gateway::platform::Rows;
+use crate::platform::{Outcome, Transaction};
+
+/// Time between two datagrams to each peer.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Silence after which a peer is no longer heard.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Silence after which a peer counts as gone for good and leaves its part of the quotas.
+const FORGET: Duration = Duration::from_secs(20);
+/// Time between two reads of the list of nodes.
+const DISCOVERY_PERIOD: Duration = Duration::from_secs(10);
+/// Pause after a failed read or write of the list of nodes.
+const DISCOVERY_RETRY: Duration = Duration::from_millis(500);
+/// Age past which a row of the list of nodes is removed by whoever reads it.
+const ROW_AGE_MS: u64 = 60_000;
+/// Windows of usage told; older ones have been reported.
+const WINDOWS_TOLD: usize = 4;
+/// Difference to the other nodes' true time past which this node's own is wrong.
+const CLOCK_TOLERANCE_MS: i64 = 400;
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 60_000;
+/// Starts the keys of the rows that list the nodes.
+pub const ROW_PREFIX: &str = "node/";
+/// Differs between versions of the datagram that don't understand each other.
+const FORMAT: u8 = 1;
+
+/// What one node tells its peers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Beat {
+    format: u8,
+    pub node: Arc<str>,
+    /// Tells two starts of a node apart.
+    pub start: u64,
+    pub serial: u64,
+    pub catalog_version: u64,
+    pub true_ms: u64,
+    /// Units of each tenant that the node has admitted since its start.
+    pub admitted: Vec<(Arc<str>, u64)>,
+    /// Requests of each tenant that began to run, by window.
+    pub usage: Vec<(u64, BTreeMap<Arc<str>, u64>)>,
+    pub loads: Vec<(Arc<str>, Load)>,
+    /// Good and bad answers of the versions in a roll-out.
+    pub tallies: Vec<crate::gateway::shift::Told>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    start: u64,
+    serial: u64,
+    heard: Option<Duration>,
+    known: Duration,
+    clock_ahead_ms: i64,
+    loads: Vec<(Arc<str>, Load)>,
+}
+
+/// Holds what a node knows about the others.
+#[derive(Debug)]
+pub struct Peers {
+    node: Arc<str>,
+    start: u64,
+    serial: u64,
+    peers: HashMap<Arc<str>, Peer>,
+}
+
+impl Peers {
+    pub fn new(node: Arc<str>, start: u64) -> Peers {
+        Peers { node, start, serial: 0, peers: HashMap::new() }
+    }
+
+    /// Takes the address of a node from the list.
+    pub fn introduce(&mut self, name: Arc<str>, address: SocketAddr, now: Duration) {
+        if name == self.node {
+            return;
+        }
+        let peer = self.peers.entry(name).or_insert(Peer {
+            address,
+            start: 0,
+            serial: 0,
+            heard: None,
+            known: now,
+            clock_ahead_ms: 0,
+            loads: Vec::new(),
+        });
+        peer.address = address;
+    }
+
+    /// Takes a datagram's sender; tells whether its content is newer than what is known.
+    fn hear(&mut self, beat: &Beat, from: SocketAddr, my_true_ms: u64, now: Duration) -> bool {
+        if beat.node == self.node || beat.format != FORMAT {
+            return false;
+        }
+        self.introduce(beat.node.clone(), from, now);
+        let Some(peer) = self.peers.get_mut(&beat.node) else { return false };
+        if (beat.start, beat.serial) <= (peer.start, peer.serial) {
+            return false;
+        }
+        (peer.start, peer.serial) = (beat.start, beat.serial);
+        peer.heard = Some(now);
+        peer.clock_ahead_ms = beat.true_ms as i64 - my_true_ms as i64;
+        peer.loads.clone_from(&beat.loads);
+        true
+    }
+
+    /// Counts this node and those that it hears.
+    pub fn count(&self, now: Duration) -> usize {
+        1 + self.peers.values().filter(|peer| peer.is_heard(now)).count()
+    }
+
+    /// Gives the part of the quotas that this node and those it hears may use.
+    pub fn share(&self, now: Duration) -> f64 {
+        let living = |peer: &&Peer| {
+            let last = peer.heard.unwrap_or(peer.known);
+            now.saturating_sub(last) < FORGET
+        };
+        let known = 1 + self.peers.values().filter(living).count();
+        self.count(now) as f64 / known as f64
+    }
+
+    /// Gives the correction of this node's true time, from the median of all nodes.
+    fn clock_correction_ms(&self, now: Duration) -> Option<i64> {
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
+        let mut ahead: Vec<i64> = heard.map(|peer| peer.clock_ahead_ms).collect();
+        if ahead.len() < 2 {
+            return None;
+        }
+        ahead.push(0);
+        ahead.sort_unstable();
+        let median = ahead[ahead.len() / 2];
+        (median.abs() > CLOCK_TOLERANCE_MS).then_some(median)
+    }
+
+    fn addresses(&self, now: Duration) -> Vec<SocketAddr> {
+        let known = |peer: &&Peer| now.saturating_sub(peer.heard.unwrap_or(peer.known)) < FORGET;
+        self.peers.values().filter(known).map(|peer| peer.address).collect()
+    }
+
+    fn loads(&self, now: Duration) -> Vec<(Arc<str>, Load)> {
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
+        heard.flat_map(|peer| peer.loads.iter().cloned()).collect()
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|heard| now.saturating_sub(heard) < SILENCE)
+    }
+}
+
+/// Sends and receives datagrams until the process ends.
+pub async fn talk(node: Rc<Node>, socket: UdpSocket) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    let mut timer = tokio::time::interval(PERIOD);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = timer.tick() => send(&node, &socket),
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => receive(&node, &buffer[..length], from),
+                Err(error) => log::debug!("peers: event=receive_failed error=\"{error}\""),
+            },
+        }
+    }
+}
+
+fn send(node: &Rc<Node>, socket: &UdpSocket) {
+    let now = clock::now();
+    let mut peers = node.peers.borrow_mut();
+    peers.serial += 1;
+    let beat = Beat {
+        format: FORMAT,
+        node: peers.node.clone(),
+        start: peers.start,
+        serial: peers.serial,
+        catalog_version: node.catalog().map_or(0, |catalog| catalog.version),
+        true_ms: node.true_ms(),
+        admitted: node.quotas.borrow().own().map(|(name, units)| (name.clone(), units)).collect(),
+        usage: node
+            .usage
+            .borrow()
+            .own(WINDOWS_TOLD)
+            .map(|(window, counts)| (window, counts.clone()))
+            .collect(),
+        loads: node.board.borrow().own().map(|(id, load)| (id.clone(), load)).collect(),
+        tallies: node.shifts.borrow().told(),
+    };
+    match postcard::to_stdvec(&beat) {
+        Ok(bytes) => {
+            for address in peers.addresses(now) {
+                // A lost datagram is made good by the next one.
+                if let Err(error) = socket.try_send_to(&bytes, address) {
+                    log::debug!("peers: event=send_failed peer={address} error=\"{error}\"");
+                }
+            }
+        }
+        Err(error) => log::error!("peers: event=encode_failed error=\"{error}\""),
+    }
+    node.quotas.borrow_mut().set_share(peers.share(now), now);
+    node.board.borrow_mut().set_peers(peers.loads(now).into_iter());
+    if let Some(correction) = peers.clock_correction_ms(now) {
+        node.epoch_ms.set(node.epoch_ms.get() + correction);
+        log::warn!("peers: event=clock_corrected by_ms={correction}");
+    }
+}
+
+fn receive(node: &Rc<Node>, bytes: &[u8], from: SocketAddr) {
+    let beat: Beat = match postcard::from_bytes(bytes) {
+        Ok(beat) => beat,
+        Err(error) => {
+            log::debug!("peers: event=bad_datagram from={from} error=\"{error}\"");
+            return;
+        }
+    };
+    let now = clock::now();
+    if !node.peers.borrow_mut().hear(&beat, from, node.true_ms(), now) {
+        return;
+    }
+    let mut quotas = node.quotas.borrow_mut();
+    for (tenant, total) in &beat.admitted {
+        quotas.hear(&beat.node, beat.start, tenant, *total, now);
+    }
+    let mut usage = node.usage.borrow_mut();
+    for (window, counts) in beat.usage {
+        usage.hear((beat.node.clone(), beat.start), window, counts);
+    }
+    node.shifts.borrow_mut().hear(&beat.node, beat.start, beat.tallies);
+}
+
+/// Enters this node into the list in the store, and reads the others from it.
+pub async fn discover(node: Rc<Node>) {
+    let mut entered = false;
+    loop {
+        let rows = (node.platform.rows)(ROW_PREFIX.to_owned()).await;
+        let pause = match rows {
+            Ok(rows) => {
+                let entered_now = take_rows(&node, &rows, &mut entered).await;
+                if entered_now { DISCOVERY_PERIOD } else { DISCOVERY_RETRY }
+            }
+            Err(failure) => {
+                log::debug!("peers: event=list_unread reason=\"{failure}\"");
+                DISCOVERY_RETRY
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Introduces the listed nodes, and writes this node's row when it is missing or old.
+async fn take_rows(node: &Rc<Node>, rows: &Rows, entered: &mut bool) -> bool {
+    let now = clock::now();
+    let own_key = format!("{ROW_PREFIX}{}", node.settings.node);
+    let address = node.settings.listen.peers;
+    let mut own_version = None;
+    let mut own_fresh = false;
+    for row in &rows.rows {
+        let field = |name: &str| row.value.get(name);
+        let at = field("at_ms").and_then(serde_json::Value::as_u64).unwrap_or(0);
+        let age = rows.now_ms.saturating_sub(at);
+        if row.key == own_key {
+            own_version = Some(row.version);
+            own_fresh = age < ROW_AGE_MS / 3;
+            continue;
+        }
+        let listed = field("address").and_then(|text| text.as_str()?.parse().ok());
+        let name = row.key.strip_prefix(ROW_PREFIX);
+        if let (Some(name), Some(listed)) = (name, listed)
+            && age < ROW_AGE_MS
+        {
+            node.peers.borrow_mut().introduce(name.into(), listed, now);
+        }
+    }
+    if *entered && own_fresh {
+        return true;
+    }
+    let value = serde_json::json!({ "address": address.to_string(), "at_ms": rows.now_ms });
+    let mut transaction = Transaction::default();
+    transaction.put(&own_key, own_version, value);
+    let outcome = (node.platform.transact)(transaction).await;
+    *entered = matches!(outcome, Ok(Outcome::Done(_)));
+    *entered
+}
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,272 @@
+//! Choice of the endpoint for a request.
+//!
+//! The heaviest load is a burst of long prompts: each delays the tokens of all requests that run
+//! beside it, and the load reports of engines are stale. So every node estimates the work ahead on
+//! an endpoint from what it sent itself and from what its peers say they sent, and sends a prompt
+//! to the endpoint where its first token comes soonest. Prompts with the same shared part prefer the
+//! same endpoint as long as its load allows.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+use crate::gateway::catalog;
+use crate::gateway::platform::{Endpoint, Prompt};
+
+/// Prompt tokens that an engine reads in a millisecond until its pace was seen.
+const READ_TOKENS_PER_MS: f64 = 40.0;
+/// Delay of the first token by each request that already runs in the batch.
+const RUNNING_MS: f64 = 0.6;
+/// Fixed time to the first token on an idle engine.
+const FIRST_TOKEN_MS: f64 = 15.0;
+/// Penalty of another failure domain, for its latency and the price of its bytes.
+const REMOTE_MS: f64 = 12.0;
+/// Advantage of the preferred endpoint of a shared part beyond the tokens that it saves.
+const HOME_MS: f64 = 10.0;
+/// Time for which an engine is believed to keep a part that nobody asked for again.
+const CACHE_TIME: Duration = Duration::from_secs(20);
+/// Parts remembered for one endpoint.
+const PARTS: usize = 4_096;
+/// Share of an engine's memory that may be promised to requests.
+const MEMORY_SHARE: f64 = 0.9;
+/// Share of an engine's slots that the nodes fill before they let requests wait.
+const SLOT_SHARE: f64 = 0.9;
+
+/// Counts what one node has under way on an endpoint.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    pub requests: u32,
+    /// Prompt tokens that the engine still has to read.
+    pub unread_tokens: u32,
+    /// Tokens that the requests may occupy in memory.
+    pub memory_tokens: u32,
+}
+
+impl Load {
+    pub fn add(&mut self, other: Load) {
+        self.requests += other.requests;
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+    }
+
+    fn remove(&mut self, other: Load) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+/// Remembers which parts an endpoint has read lately.
+#[derive(Debug, Default)]
+struct Cache {
+    used: HashMap<u64, Duration>,
+    order: VecDeque<u64>,
+}
+
+impl Cache {
+    fn touch(&mut self, part: u64, now: Duration) {
+        if self.used.insert(part, now).is_none() {
+            self.order.push_back(part);
+        }
+        while self.order.len() > PARTS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.used.remove(&oldest);
+            }
+        }
+    }
+
+    fn holds(&self, part: u64, now: Duration) -> bool {
+        self.used.get(&part).is_some_and(|&used| now.saturating_sub(used) < CACHE_TIME)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Site {
+    own: Load,
+    peers: Load,
+    cache: Cache,
+}
+
+/// Holds the estimates of one node about all endpoints.
+#[derive(Debug, Default)]
+pub struct Board {
+    sites: HashMap<Arc<str>, Site>,
+}
+
+/// Describes a request that looks for an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    pub prompt: Option<&'a Prompt>,
+    pub hash: u64,
+}
+
+/// An endpoint that may take the request, with the node's evidence about its speed.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    pub endpoint: &'a Endpoint,
+    pub slowness: f64,
+}
+
+/// Holds a choice and the work that it adds to the endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    pub endpoint: Arc<str>,
+    pub load: Load,
+    /// Predicted time to the first byte of the answer.
+    pub predicted: Duration,
+}
+
+impl Board {
+    /// Chooses the endpoint with the earliest first token; `None` when all are full.
+    pub fn choose<'a>(
+        &self,
+        job: Job<'_>,
+        domain: &str,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+        engine: Option<&catalog::Engine>,
+        now: Duration,
+    ) -> Option<Choice> {
+        let idle = Site::default();
+        let mut best: Option<(f64, Choice)> = None;
+        for candidate in candidates {
+            let endpoint = candidate.endpoint;
+            let site = self.sites.get(&endpoint.id).unwrap_or(&idle);
+            let load = job_load(job, site, now);
+            if !has_room(site, load, endpoint, engine) {
+                continue;
+            }
+            let predicted = predict(site, load, endpoint, engine) * candidate.slowness;
+            let remote = if *endpoint.domain == *domain { 0.0 } else { REMOTE_MS };
+            let affinity = preference(job, &endpoint.id) * HOME_MS;
+            let score = predicted + remote - affinity;
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                let predicted = Duration::from_secs_f64(predicted / 1_000.0);
+                best = Some((score, Choice { endpoint: endpoint.id.clone(), load, predicted }));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// Counts a request as sent.
+    pub fn begin(&mut self, choice: &Choice, prompt: Option<&Prompt>, now: Duration) {
+        let site = self.sites.entry(choice.endpoint.clone()).or_default();
+        site.own.add(choice.load);
+        for part in prompt.iter().flat_map(|prompt| &prompt.parts) {
+            site.cache.touch(part.hash, now);
+        }
+    }
+
+    /// Counts the prompt as read: the first event has come.
+    pub fn first_event(&mut self, endpoint: &str, load: &mut Load) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.own.remove(Load { unread_tokens: load.unread_tokens, ..Load::default() });
+        }
+        load.unread_tokens = 0;
+    }
+
+    /// Counts a request as ended.
+    pub fn end(&mut self, endpoint: &str, load: Load) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.own.remove(load);
+        }
+    }
+
+    /// Replaces what the peers have under way.
+    pub fn set_peers(&mut self, loads: impl Iterator<Item = (Arc<str>, Load)>) {
+        for site in self.sites.values_mut() {
+            site.peers = Load::default();
+        }
+        for (endpoint, load) in loads {
+            self.sites.entry(endpoint).or_default().peers.add(load);
+        }
+    }
+
+    /// Gives what this node has under way, for its peers.
+    pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, Load)> {
+        self.sites.iter().filter(|(_, site)| site.own.requests > 0).map(|(id, site)| (id, site.own))
+    }
+
+    /// Gives what all nodes have under way on an endpoint.
+    pub fn total(&self, endpoint: &str) -> Load {
+        let mut load = Load::default();
+        if let Some(site) = self.sites.get(endpoint) {
+            load.add(site.own);
+            load.add(site.peers);
+        }
+        load
+    }
+
+    /// Forgets an endpoint that is gone or started anew.
+    pub fn forget_cache(&mut self, endpoint: &str) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.cache = Cache::default();
+        }
+    }
+
+    /// Drops the estimates of endpoints that are gone and have nothing under way.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.sites.retain(|id, site| site.own.requests > 0 || keep(id));
+    }
+}
+
+fn job_load(job: Job<'_>, site: &Site, now: Duration) -> Load {
+    let Some(prompt) = job.prompt else {
+        return Load { requests: 1, ..Load::default() };
+    };
+    // A part is of use only if all parts before it are kept too.
+    let kept: u32 = prompt
+        .parts
+        .iter()
+        .take_while(|part| site.cache.holds(part.hash, now))
+        .map(|part| part.tokens)
+        .sum();
+    Load {
+        requests: 1,
+        unread_tokens: prompt.prompt_tokens.saturating_sub(kept),
+        memory_tokens: prompt.prompt_tokens.saturating_add(prompt.max_output_tokens),
+    }
+}
+
+fn has_room(
+    site: &Site,
+    load: Load,
+    endpoint: &Endpoint,
+    engine: Option<&catalog::Engine>,
+) -> bool {
+    let mut total = site.own;
+    total.add(site.peers);
+    let slots = f64::from(endpoint.slots);
+    let Some(engine) = engine else { return f64::from(total.requests) < slots };
+    let limit = engine.memory_tokens as f64 * MEMORY_SHARE;
+    let memory = f64::from(total.memory_tokens) + f64::from(load.memory_tokens);
+    total.requests == 0 || f64::from(total.requests) < slots * SLOT_SHARE && memory < limit
+}
+
+/// Predicts the time to the first byte in milliseconds at the usual speed.
+fn predict(site: &Site, load: Load, endpoint: &Endpoint, engine: Option<&catalog::Engine>) -> f64 {
+    let mut total = site.own;
+    total.add(site.peers);
+    let running = f64::from(total.requests);
+    if engine.is_none() {
+        return 10.0 + 30.0 * running / f64::from(endpoint.slots.max(1));
+    }
+    let unread = f64::from(total.unread_tokens) + f64::from(load.unread_tokens);
+    FIRST_TOKEN_MS + unread / READ_TOKENS_PER_MS + RUNNING_MS * running
+}
+
+/// Gives how much an endpoint is preferred for the shared parts of a prompt, from 0 to 1.
+///
+/// All nodes compute the same value, so they agree on the home of a part without a message.
+fn preference(job: Job<'_>, endpoint: &str) -> f64 {
+    let shared = job.prompt.and_then(|prompt| {
+        let count = prompt.parts.len();
+        prompt.parts.get(count.checked_sub(2)?)
+    });
+    let seed = shared.map_or(job.hash, |part| part.hash);
+    let hash = xxh3::xxh3_64_with_seed(endpoint.as_bytes(), seed);
+    let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+    // Only the first of the ranking gets close to 1, whatever the number of endpoints.
+    uniform.powi(16)
+}
--- /dev/null
+++ b/src/gateway/roster.rs
@@ -0,0 +1,178 @@
+//! Endpoints as the platform lists them, with the node's own evidence about each.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::gateway::platform::{Change, Endpoint};
+
+/// Failures in a row after which an endpoint gets no requests for a while.
+const FAILURES: u32 = 3;
+/// Running share of failures above which an endpoint gets no requests for a while.
+///
+/// It answers endpoints that fail part of their requests while their health check is good.
+const FAILURE_SHARE: f64 = 0.3;
+/// Weight of one request in the running share of failures.
+const SHARE_WEIGHT: f64 = 0.1;
+/// First and longest pause of a failing endpoint; it doubles from one to the other.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Time without failures after which the pause starts small again.
+const FORGIVE: Duration = Duration::from_secs(10);
+/// Time for which an entry that is missing after an outage of the store is still believed; living
+/// endpoints register again within about two seconds.
+const GRACE: Duration = Duration::from_millis(1_500);
+
+/// Holds what the node has seen of an endpoint itself.
+#[derive(Debug, Default, Clone)]
+pub struct Health {
+    failures: u32,
+    share: f64,
+    pause: Duration,
+    paused_until: Duration,
+    last_failure: Duration,
+    /// Observed time to the first event against the predicted one; 1 until something was seen.
+    slowness: f64,
+}
+
+impl Health {
+    pub fn record_success(&mut self) {
+        self.failures = 0;
+        self.share *= 1.0 - SHARE_WEIGHT;
+    }
+
+    /// Counts a failure of the endpoint itself: refused connections, resets, broken answers.
+    pub fn record_failure(&mut self, now: Duration) {
+        self.failures += 1;
+        self.share += (1.0 - self.share) * SHARE_WEIGHT;
+        if now.saturating_sub(self.last_failure) > FORGIVE {
+            self.pause = Duration::ZERO;
+        }
+        self.last_failure = now;
+        if self.failures >= FAILURES || self.share > FAILURE_SHARE {
+            self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+            self.paused_until = now + self.pause;
+            self.failures = FAILURES - 1;
+            self.share *= 0.7;
+        }
+    }
+
+    /// Records how long the first event took against the prediction.
+    pub fn record_pace(&mut self, observed: Duration, predicted: Duration) {
+        let ratio = observed.as_secs_f64() / predicted.as_secs_f64().max(0.005);
+        let ratio = ratio.clamp(0.25, 20.0);
+        let slowness = self.slowness();
+        self.slowness = slowness + (ratio - slowness) * 0.15;
+    }
+
+    pub fn slowness(&self) -> f64 {
+        if self.slowness == 0.0 { 1.0 } else { self.slowness }
+    }
+
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub endpoint: Endpoint,
+    pub health: Health,
+    /// Time at which the entry vanished while the store was in trouble.
+    missing_since: Option<Duration>,
+}
+
+impl Entry {
+    /// Tells whether the endpoint may get new requests.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        let believed = self.missing_since.is_none_or(|since| now < since + GRACE);
+        !self.endpoint.draining && believed && !self.health.is_paused(now)
+    }
+
+    /// Tells whether the endpoint is listed and not leaving, whatever its health.
+    pub fn is_listed(&self) -> bool {
+        !self.endpoint.draining && self.missing_since.is_none()
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: HashMap<Arc<str>, Entry>,
+    last_trouble: Option<Duration>,
+}
+
+impl Roster {
+    /// Records that the store didn't answer; entries that vanish soon after may come back.
+    pub fn record_trouble(&mut self, now: Duration) {
+        self.last_trouble = Some(now);
+    }
+
+    /// Takes a change and gives the endpoints that must get nothing more.
+    pub fn apply(&mut self, change: Change, now: Duration) -> Option<Arc<str>> {
+        match change {
+            Change::Seen(endpoint) => {
+                let id = endpoint.id.clone();
+                let leaves = endpoint.draining.then(|| id.clone());
+                let entry = self.entries.entry(id).or_insert_with(|| Entry {
+                    endpoint: endpoint.clone(),
+                    health: Health::default(),
+                    missing_since: None,
+                });
+                if entry.endpoint.born_ms != endpoint.born_ms {
+                    entry.health = Health::default();
+                }
+                entry.missing_since = None;
+                entry.endpoint = endpoint;
+                leaves
+            }
+            Change::Gone(id) => {
+                let trouble = self.last_trouble;
+                let recent = trouble.is_some_and(|at| now.saturating_sub(at) < 2 * GRACE);
+                if recent && let Some(entry) = self.entries.get_mut(&id) {
+                    entry.missing_since.get_or_insert(now);
+                } else {
+                    self.entries.remove(&id);
+                }
+                Some(id)
+            }
+        }
+    }
+
+    /// Takes a complete list: what it doesn't hold is gone.
+    pub fn replace(&mut self, changes: Vec<Change>, now: Duration) {
+        let mut listed: Vec<Arc<str>> = Vec::new();
+        for change in changes {
+            if let Change::Seen(endpoint) = &change {
+                listed.push(endpoint.id.clone());
+            }
+            self.apply(change, now);
+        }
+        let missing: Vec<_> =
+            self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        for id in missing {
+            self.apply(Change::Gone(id), now);
+        }
+    }
+
+    /// Drops entries that did not come back after an outage of the store.
+    pub fn expire(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| entry.missing_since.is_none_or(|since| now < since + GRACE));
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    pub fn health(&mut self, id: &str) -> Option<&mut Health> {
+        self.entries.get_mut(id).map(|entry| &mut entry.health)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Gives the endpoints of a service, in no particular order.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries.values().filter(move |entry| &*entry.endpoint.service == service)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod document;
 pub mod endpoint;
 pub mod error;
+pub mod gateway;
 pub mod lease;
 pub mod membership;
 pub mod metric;
