--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod clock;
+pub mod demand;
 mod duties;
 pub mod fleet;
 pub mod follow;
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -303,13 +303,15 @@
     let board = node.board.borrow();
     for service in catalog.services.values() {
         let Some(scaling) = &service.scaling else { continue };
-        let mut view = fleet::View::default();
+        let mut view = fleet::View {
+            asked_tokens: node.demand.borrow().total(&service.name),
+            slots: service.engine.map_or(1, |engine| engine.slots),
+            ..fleet::View::default()
+        };
         for entry in roster.of(&service.name).filter(|entry| entry.is_listed()) {
             let endpoint = &entry.endpoint;
             let load = board.total(&endpoint.id);
-            view.slots = view.slots.max(endpoint.slots);
             view.requests += load.requests;
-            view.unread_tokens += u64::from(load.unread_tokens);
             view.count(endpoint.domain.clone(), endpoint.reclaimable);
         }
         planner.observe(&service.name, scaling, view, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -136,6 +136,9 @@
 /// Serves a request that may run.
 pub async fn run(node: Rc<Node>, ask: Ask, active: Active) -> Response<Body> {
     node.budget.borrow_mut().record_request(&ask.service, clock::now());
+    if let Some(prompt) = &ask.demand.prompt {
+        node.demand.borrow_mut().record(&ask.service, prompt.prompt_tokens);
+    }
     let mut history = History::default();
     loop {
         let placed = match place(&node, &ask, &history.tried).await {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::budget::{Budget, Rule};
 use crate::gateway::catalog::Catalog;
+use crate::gateway::demand::Demand;
 use crate::gateway::link::Links;
 use crate::gateway::peers::Peers;
 use crate::gateway::place::Board;
@@ -62,6 +63,7 @@
     pub quotas: RefCell<Quotas>,
     pub budget: RefCell<Budget>,
     pub usage: RefCell<Usage>,
+    pub demand: RefCell<Demand>,
     pub shifts: RefCell<Shifts>,
     pub peers: RefCell<Peers>,
     pub waiting: RefCell<HashMap<Arc<str>, Waiting>>,
@@ -101,6 +103,7 @@
             quotas: RefCell::new(Quotas::new()),
             budget: RefCell::new(Budget::new(rule)),
             usage: RefCell::default(),
+            demand: RefCell::default(),
             shifts: RefCell::default(),
             peers: RefCell::new(peers),
             waiting: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -55,6 +55,8 @@
     /// Requests of each tenant that began to run, by window.
     pub usage: Vec<(u64, BTreeMap<Arc<str>, u64>)>,
     pub loads: Vec<(Arc<str>, Load)>,
+    /// Prompt tokens asked for since the start of the node, by service.
+    pub demand: Vec<(Arc<str>, u64)>,
     /// Good and bad answers of the versions in a roll-out.
     pub tallies: Vec<crate::gateway::shift::Told>,
 }
@@ -198,6 +200,12 @@
             .map(|(window, counts)| (window, counts.clone()))
             .collect(),
         loads: node.board.borrow().own().map(|(id, load)| (id.clone(), load)).collect(),
+        demand: node
+            .demand
+            .borrow()
+            .own()
+            .map(|(service, total)| (service.clone(), total))
+            .collect(),
         tallies: node.shifts.borrow().told(),
     };
     match postcard::to_stdvec(&beat) {
@@ -239,6 +247,9 @@
     for (window, counts) in beat.usage {
         usage.hear((beat.node.clone(), beat.start), window, counts);
     }
+    for (service, total) in &beat.demand {
+        node.demand.borrow_mut().hear(&beat.node, beat.start, service, *total);
+    }
     node.shifts.borrow_mut().hear(&beat.node, beat.start, beat.tallies);
 }
 
