--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -70,8 +70,7 @@
                 return;
             }
             let version = catalog.version;
-            let now = clock::now();
-            node.quotas.borrow_mut().configure(&catalog.tenants, now);
+            node.quotas.borrow_mut().configure(&catalog.tenants);
             *node.catalog.borrow_mut() = Some(Arc::from(catalog));
             node.wake_all();
             log::info!("follow: event=catalog version={version} before={known:?}");
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -202,11 +202,6 @@
         _ if history.may_have_run => (Cause::Unknown, None),
         _ => refusal,
     };
-    if !history.may_have_run
-        && let Some(tenant) = &ask.tenant
-    {
-        node.quotas.borrow_mut().give_back(&tenant.name, ask.units);
-    }
     handle::refuse(node, cause, after, &ask.demand.id, &ask.route.name, ask.arrived)
 }
 
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -42,8 +42,6 @@
     pub until: Duration,
     /// Same for all attempts of one request; spreads choices and advice.
     pub hash: u64,
-    /// Units that were taken from the tenant's quota.
-    pub units: u64,
 }
 
 /// A refusal with the advice when to come back.
@@ -148,7 +146,7 @@
     let Some(service) = route.service(hash).cloned() else {
         return Err((Cause::NoEndpoint, Some(ELSEWHERE)));
     };
-    let units = charge(node, tenant.as_deref(), &demand, hash)?;
+    charge(node, tenant.as_deref(), &demand, hash)?;
     let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
     Ok(Ask {
         head,
@@ -162,7 +160,6 @@
         deadline,
         until,
         hash,
-        units,
     })
 }
 
@@ -184,23 +181,22 @@
     tenant.cloned().map(Some).ok_or((Cause::UnknownKey, None))
 }
 
-/// Takes a request from its tenant's quota and gives the units.
+/// Takes a request from its tenant's quota.
 fn charge(
     node: &Node,
     tenant: Option<&Tenant>,
     demand: &Demand,
     hash: u64,
-) -> Result<u64, Refusal> {
+) -> Result<(), Refusal> {
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
-        return Ok(0);
+        return Ok(());
     };
     let tokens = demand.prompt.as_ref().map_or(quota.default_tokens, |prompt| {
         u64::from(prompt.prompt_tokens) + u64::from(prompt.max_output_tokens)
     });
     let units = if quota.counts_tokens { tokens } else { 1 };
     let taken = node.quotas.borrow_mut().take(&tenant.name, units, clock::now());
-    taken.map_err(|after| (Cause::OverQuota, Some(queue::spread(after, hash))))?;
-    Ok(units)
+    taken.map_err(|after| (Cause::OverQuota, Some(queue::spread(after, hash))))
 }
 
 async fn read_body(body: Incoming, limit: usize, until: Duration) -> Result<Bytes, Refusal> {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -100,7 +100,7 @@
             roster: RefCell::default(),
             listed: Cell::default(),
             board: RefCell::default(),
-            quotas: RefCell::new(Quotas::new()),
+            quotas: RefCell::new(Quotas::new(bounds.quota_window)),
             budget: RefCell::new(Budget::new(rule)),
             usage: RefCell::default(),
             demand: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -219,7 +219,7 @@
         }
         Err(error) => log::error!("peers: event=encode_failed error=\"{error}\""),
     }
-    node.quotas.borrow_mut().set_share(peers.share(now), now);
+    node.quotas.borrow_mut().set_share(peers.share(now));
     node.board.borrow_mut().set_peers(peers.loads(now).into_iter());
     if let Some(correction) = peers.clock_correction_ms(now) {
         node.epoch_ms.set(node.epoch_ms.get() + correction);
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,76 +1,94 @@
 //! Quotas of tenants over all nodes together.
 //!
 //! The load to answer is one tenant that sends many times its usual: the others must not feel it,
-//! and it must get what its quota allows. Every node runs the same token bucket: it takes its own
-//! requests at once and those of its peers as they tell them. While a peer is silent, the node
-//! leaves that peer's part of the rate unused, so that both sides of a cut together stay within the
-//! quota.
+//! and it must get what its quota allows. Every node keeps what all nodes admitted in the window of
+//! the quota: its own requests at once, those of its peers as they tell them. While a peer is silent,
+//! the node leaves that peer's part of the quota unused, so that both sides of a cut together stay
+//! within it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::gateway::catalog;
 
+/// Time by which the window is longer than the users', for what the peers have not told yet.
+const TELL_TIME: Duration = Duration::from_millis(250);
+
 #[derive(Debug)]
-struct Bucket {
+struct Ledger {
     quota: catalog::Quota,
-    level: f64,
-    refilled: Duration,
+    /// Units admitted by all nodes, with the time at which this node knew of them.
+    entries: VecDeque<(Duration, u64)>,
+    sum: u64,
     /// Units that this node has ever admitted.
     own: u64,
     /// Units that each peer has ever admitted, as last told, with its start.
     peers: HashMap<Arc<str>, (u64, u64)>,
 }
 
-impl Bucket {
-    fn refill(&mut self, share: f64, now: Duration) {
-        let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
-        self.refilled = now;
-        let level = self.level + elapsed * self.quota.rate * share;
-        self.level = level.min(self.quota.burst);
+impl Ledger {
+    fn add(&mut self, units: u64, now: Duration) {
+        self.entries.push_back((now, units));
+        self.sum += units;
+    }
+
+    fn expire(&mut self, window: Duration, now: Duration) {
+        while let Some((_, units)) =
+            self.entries.pop_front_if(|(time, _)| now.saturating_sub(*time) > window)
+        {
+            self.sum -= units;
+        }
+    }
+
+    /// Gives the time after which `units` more fit, when what is in the window has expired.
+    fn room_after(&self, units: f64, limit: f64, window: Duration, now: Duration) -> Duration {
+        let mut sum = self.sum as f64 + units;
+        for (time, units) in &self.entries {
+            sum -= *units as f64;
+            if sum <= limit {
+                return (*time + window).saturating_sub(now);
+            }
+        }
+        window
     }
 }
 
-/// Holds the buckets of all tenants on one node.
-#[derive(Debug, Default)]
+/// Holds what the nodes have admitted of all tenants.
+#[derive(Debug)]
 pub struct Quotas {
-    buckets: HashMap<Arc<str>, Bucket>,
+    window: Duration,
+    ledgers: HashMap<Arc<str>, Ledger>,
     share: f64,
 }
 
 impl Quotas {
-    pub fn new() -> Quotas {
-        Quotas { buckets: HashMap::new(), share: 1.0 }
+    /// Starts with no tenants; `window` is the span over which the users count.
+    pub fn new(window: Duration) -> Quotas {
+        Quotas { window: window + TELL_TIME, ledgers: HashMap::new(), share: 1.0 }
     }
 
-    /// Takes the quotas of a new catalog; levels carry over.
-    pub fn configure(&mut self, tenants: &[Arc<catalog::Tenant>], now: Duration) {
-        self.buckets.retain(|name, _| tenants.iter().any(|tenant| tenant.name == *name));
+    /// Takes the quotas of a new catalog; what was admitted before still counts.
+    pub fn configure(&mut self, tenants: &[Arc<catalog::Tenant>]) {
+        self.ledgers.retain(|name, _| tenants.iter().any(|tenant| tenant.name == *name));
         for tenant in tenants {
             let Some(quota) = tenant.quota else {
-                self.buckets.remove(&tenant.name);
+                self.ledgers.remove(&tenant.name);
                 continue;
             };
-            let share = self.share;
-            let bucket = self.buckets.entry(tenant.name.clone()).or_insert_with(|| Bucket {
+            let ledger = self.ledgers.entry(tenant.name.clone()).or_insert_with(|| Ledger {
                 quota,
-                level: quota.burst,
-                refilled: now,
+                entries: VecDeque::new(),
+                sum: 0,
                 own: 0,
                 peers: HashMap::new(),
             });
-            bucket.refill(share, now);
-            bucket.quota = quota;
-            bucket.level = bucket.level.min(quota.burst);
+            ledger.quota = quota;
         }
     }
 
-    /// Sets the part of the rates that this node and the peers it hears may use, from 0 to 1.
-    pub fn set_share(&mut self, share: f64, now: Duration) {
-        for bucket in self.buckets.values_mut() {
-            bucket.refill(self.share, now);
-        }
+    /// Sets the part of the quotas that this node and the peers it hears may use, from 0 to 1.
+    pub fn set_share(&mut self, share: f64) {
         self.share = share;
     }
 
@@ -78,46 +96,42 @@
     ///
     /// # Errors
     ///
-    /// Gives the time after which the bucket holds enough.
+    /// Gives the time after which the window has room.
     pub fn take(&mut self, tenant: &str, units: u64, now: Duration) -> Result<(), Duration> {
-        let share = self.share;
-        let Some(bucket) = self.buckets.get_mut(tenant) else { return Ok(()) };
-        bucket.refill(share, now);
-        // A request larger than the whole burst passes when the bucket is full.
-        let needed = (units as f64).min(bucket.quota.burst);
-        if bucket.level < needed {
-            let rate = (bucket.quota.rate * share).max(1e-3);
-            return Err(Duration::from_secs_f64(((needed - bucket.level) / rate).min(60.0)));
+        let (window, share) = (self.window, self.share);
+        let Some(ledger) = self.ledgers.get_mut(tenant) else { return Ok(()) };
+        ledger.expire(window, now);
+        let quota = ledger.quota;
+        let limit = (quota.rate * window.as_secs_f64() + quota.burst) * share;
+        let fits = ledger.sum as f64 + units as f64 <= limit;
+        // A request that is larger than the whole window runs alone.
+        if !fits && ledger.sum > 0 {
+            return Err(ledger.room_after(units as f64, limit, window, now));
         }
-        bucket.level -= units as f64;
-        bucket.own += units;
+        ledger.add(units, now);
+        ledger.own += units;
         Ok(())
     }
 
-    /// Gives the units back of a request that didn't run.
-    pub fn give_back(&mut self, tenant: &str, units: u64) {
-        if let Some(bucket) = self.buckets.get_mut(tenant) {
-            bucket.level = (bucket.level + units as f64).min(bucket.quota.burst);
-            bucket.own = bucket.own.saturating_sub(units);
-        }
-    }
-
     /// Takes the units that a peer has admitted since it started.
     pub fn hear(&mut self, peer: &Arc<str>, start: u64, tenant: &str, total: u64, now: Duration) {
-        let share = self.share;
-        let Some(bucket) = self.buckets.get_mut(tenant) else { return };
-        bucket.refill(share, now);
-        let before = bucket.peers.insert(peer.clone(), (start, total));
-        let spent = match before {
-            Some((known, before)) if known == start => total as f64 - before as f64,
-            // What a peer admitted before this node heard of it lies in the past.
-            _ => 0.0,
-        };
-        bucket.level = (bucket.level - spent).min(bucket.quota.burst);
+        let window = self.window;
+        let Some(ledger) = self.ledgers.get_mut(tenant) else { return };
+        let before = ledger.peers.insert(peer.clone(), (start, total));
+        // What a peer admitted before this node heard of it lies in the past.
+        if let Some((known, before)) = before
+            && known == start
+        {
+            ledger.expire(window, now);
+            let units = total.saturating_sub(before);
+            if units > 0 {
+                ledger.add(units, now);
+            }
+        }
     }
 
     /// Gives the units that this node has admitted, for its peers.
     pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.buckets.iter().map(|(name, bucket)| (name, bucket.own))
+        self.ledgers.iter().map(|(name, ledger)| (name, ledger.own))
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -55,6 +55,8 @@
     pub retry_ratio: f64,
     pub retry_window: Duration,
     pub retry_slack: f64,
+    /// Span over which the quotas of tenants are counted.
+    pub quota_window: Duration,
     /// Length of the windows of usage reports.
     pub report_window: Duration,
     /// Time after the end of a window by which its report is due.
@@ -147,6 +149,7 @@
         retry_ratio: 0.0,
         retry_window: none,
         retry_slack: 0.0,
+        quota_window: none,
         report_window: none,
         usage_delay: none,
         exposure_fraction: 0.0,
@@ -192,6 +195,7 @@
         retry_ratio: reader.number("retry_ratio", 0.0..=10.0, None),
         retry_window: seconds(reader, "retry_window_s"),
         retry_slack: reader.number("retry_slack", 0.0..=1e9, None),
+        quota_window: seconds(reader, "quota_window_s"),
         report_window: seconds(reader, "report_window_s"),
         usage_delay: seconds(reader, "usage_delay_s"),
         exposure_fraction: reader.number("exposure_fraction", 0.0..=1.0, None),
