Take the quota window for used up after a restart

A restarted node now takes the window as used up until a peer that has run for longer tells the sums. tests/quota_window.rs plays the restart.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -70,7 +70,7 @@
                 return;
             }
             let version = catalog.version;
-            node.quotas.borrow_mut().configure(&catalog.tenants);
+            node.quotas.borrow_mut().configure(&catalog.tenants, clock::now());
             *node.catalog.borrow_mut() = Some(Arc::from(catalog));
             node.wake_all();
             log::info!("follow: event=catalog version={version} before={known:?}");
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -148,19 +148,7 @@
     };
     charge(node, tenant.as_deref(), &demand, hash)?;
     let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
-    Ok(Ask {
-        head,
-        body,
-        demand,
-        route,
-        service,
-        tenant,
-        priority,
-        arrived,
-        deadline,
-        until,
-        hash,
-    })
+    Ok(Ask { head, body, demand, route, service, tenant, priority, arrived, deadline, until, hash })
 }
 
 fn authenticate(
@@ -182,12 +170,7 @@
 }
 
 /// Takes a request from its tenant's quota.
-fn charge(
-    node: &Node,
-    tenant: Option<&Tenant>,
-    demand: &Demand,
-    hash: u64,
-) -> Result<(), Refusal> {
+fn charge(node: &Node, tenant: Option<&Tenant>, demand: &Demand, hash: u64) -> Result<(), Refusal> {
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
         return Ok(());
     };
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -51,6 +51,8 @@
     pub settings: Settings,
     pub platform: Platform,
     pub dialect: Dialect,
+    /// Time at which the node started.
+    pub began: Duration,
     /// Tells this start of the node apart from others: the wall clock at its start.
     pub start: u64,
     pub catalog: RefCell<Option<Arc<Catalog>>>,
@@ -92,6 +94,7 @@
         let start = wall.unsigned_abs();
         let peers = Peers::new(settings.node.clone(), start);
         Rc::new(Node {
+            began: clock::now(),
             start,
             platform,
             dialect,
@@ -100,7 +103,7 @@
             roster: RefCell::default(),
             listed: Cell::default(),
             board: RefCell::default(),
-            quotas: RefCell::new(Quotas::new(bounds.quota_window)),
+            quotas: RefCell::new(Quotas::new(bounds.quota_window, settings.first_start)),
             budget: RefCell::new(Budget::new(rule)),
             usage: RefCell::default(),
             demand: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -52,6 +52,9 @@
     pub true_ms: u64,
     /// Units of each tenant that the node has admitted since its start.
     pub admitted: Vec<(Arc<str>, u64)>,
+    /// Units of each tenant that all nodes have admitted in the window of the quotas.
+    pub window_sums: Vec<(Arc<str>, u64)>,
+    pub uptime_ms: u64,
     /// Requests of each tenant that began to run, by window.
     pub usage: Vec<(u64, BTreeMap<Arc<str>, u64>)>,
     pub loads: Vec<(Arc<str>, Load)>,
@@ -193,6 +196,8 @@
         catalog_version: node.catalog().map_or(0, |catalog| catalog.version),
         true_ms: node.true_ms(),
         admitted: node.quotas.borrow().own().map(|(name, units)| (name.clone(), units)).collect(),
+        window_sums: node.quotas.borrow_mut().sums(now),
+        uptime_ms: now.saturating_sub(node.began).as_millis() as u64,
         usage: node
             .usage
             .borrow()
@@ -240,6 +245,7 @@
         return;
     }
     let mut quotas = node.quotas.borrow_mut();
+    quotas.adopt(Duration::from_millis(beat.uptime_ms), &beat.window_sums, now);
     for (tenant, total) in &beat.admitted {
         quotas.hear(&beat.node, beat.start, tenant, *total, now);
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -4,7 +4,8 @@
 //! and it must get what its quota allows. Every node keeps what all nodes admitted in the window of
 //! the quota: its own requests at once, those of its peers as they tell them. While a peer is silent,
 //! the node leaves that peer's part of the quota unused, so that both sides of a cut together stay
-//! within it.
+//! within it. A node that starts again while others were or are running takes the window for used
+//! up, until a peer that has run for longer tells what really was admitted.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -14,6 +15,8 @@
 
 /// Time by which the window is longer than the users', for what the peers have not told yet.
 const TELL_TIME: Duration = Duration::from_millis(250);
+/// Steps in which what was admitted before a start leaves the window.
+const STEPS: u32 = 16;
 
 #[derive(Debug)]
 struct Ledger {
@@ -33,6 +36,19 @@
         self.sum += units;
     }
 
+    /// Replaces what is in the window by `units`, as if admitted evenly over its length.
+    fn seed(&mut self, units: f64, window: Duration, now: Duration) {
+        let each = (units / f64::from(STEPS)) as u64;
+        let step = window / STEPS;
+        let start = now.saturating_sub(window);
+        self.entries = (1..=STEPS).map(|index| (start + step * index, each)).collect();
+        self.sum = each * u64::from(STEPS);
+    }
+
+    fn limit(&self, window: Duration) -> f64 {
+        self.quota.rate * window.as_secs_f64() + self.quota.burst
+    }
+
     fn expire(&mut self, window: Duration, now: Duration) {
         while let Some((_, units)) =
             self.entries.pop_front_if(|(time, _)| now.saturating_sub(*time) > window)
@@ -60,16 +76,52 @@
     window: Duration,
     ledgers: HashMap<Arc<str>, Ledger>,
     share: f64,
+    /// Set until this node knows what was admitted before its start.
+    is_unsure: bool,
+    configured: bool,
 }
 
 impl Quotas {
     /// Starts with no tenants; `window` is the span over which the users count.
-    pub fn new(window: Duration) -> Quotas {
-        Quotas { window: window + TELL_TIME, ledgers: HashMap::new(), share: 1.0 }
+    ///
+    /// `is_first_start` tells that no node has run before.
+    pub fn new(window: Duration, is_first_start: bool) -> Quotas {
+        Quotas {
+            window: window + TELL_TIME,
+            ledgers: HashMap::new(),
+            share: 1.0,
+            is_unsure: !is_first_start,
+            configured: false,
+        }
+    }
+
+    /// Takes from a peer what all nodes have admitted in the window, if this node doesn't know.
+    pub fn adopt(&mut self, uptime: Duration, sums: &[(Arc<str>, u64)], now: Duration) {
+        if !self.is_unsure || !self.configured || uptime < self.window {
+            return;
+        }
+        self.is_unsure = false;
+        for (name, ledger) in &mut self.ledgers {
+            let sum = sums.iter().find(|(tenant, _)| tenant == name).map_or(0, |(_, sum)| *sum);
+            ledger.seed(sum as f64, self.window, now);
+        }
+    }
+
+    /// Gives what all nodes have admitted in the window, for a peer that has just started.
+    pub fn sums(&mut self, now: Duration) -> Vec<(Arc<str>, u64)> {
+        let window = self.window;
+        let sum = |(name, ledger): (&Arc<str>, &mut Ledger)| {
+            ledger.expire(window, now);
+            (name.clone(), ledger.sum)
+        };
+        self.ledgers.iter_mut().map(sum).collect()
     }
 
     /// Takes the quotas of a new catalog; what was admitted before still counts.
-    pub fn configure(&mut self, tenants: &[Arc<catalog::Tenant>]) {
+    pub fn configure(&mut self, tenants: &[Arc<catalog::Tenant>], now: Duration) {
+        let is_seeded = self.is_unsure && !self.configured;
+        self.configured = true;
+        let window = self.window;
         self.ledgers.retain(|name, _| tenants.iter().any(|tenant| tenant.name == *name));
         for tenant in tenants {
             let Some(quota) = tenant.quota else {
@@ -84,6 +136,9 @@
                 peers: HashMap::new(),
             });
             ledger.quota = quota;
+            if is_seeded {
+                ledger.seed(ledger.limit(window), window, now);
+            }
         }
     }
 
@@ -101,8 +156,7 @@
         let (window, share) = (self.window, self.share);
         let Some(ledger) = self.ledgers.get_mut(tenant) else { return Ok(()) };
         ledger.expire(window, now);
-        let quota = ledger.quota;
-        let limit = (quota.rate * window.as_secs_f64() + quota.burst) * share;
+        let limit = ledger.limit(window) * share;
         let fits = ledger.sum as f64 + units as f64 <= limit;
         // A request that is larger than the whole window runs alone.
         if !fits && ledger.sum > 0 {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -15,6 +15,8 @@
 pub struct Settings {
     pub node: Arc<str>,
     pub failure_domain: Arc<str>,
+    /// Set when the whole system starts for the first time, so that no node has run before.
+    pub first_start: bool,
     pub listen: Listen,
     /// Address of the platform's store.
     pub store: SocketAddr,
@@ -104,6 +106,7 @@
             let settings = Settings {
                 node: reader.text("node"),
                 failure_domain: reader.text("failure_domain"),
+                first_start: reader.flag("first_start", false),
                 listen: listen.unwrap_or_else(unset_listen),
                 store: address(reader, "store"),
                 cloud: optional_address(reader, "cloud"),
--- /dev/null
+++ b/tests/quota_window.rs
@@ -0,0 +1,101 @@
+//! Quotas of tenants over all nodes, without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelolink::gateway::catalog::{Quota, Tenant};
+use pomelolink::gateway::quota::Quotas;
+
+const WINDOW: Duration = Duration::from_secs(8);
+/// Part by which the users let all nodes together exceed a quota, besides a fixed amount.
+const OVERSHOOT: f64 = 0.1;
+const RATE: f64 = 100_000.0;
+/// Largest sum that may be admitted in a window.
+const BOUND: f64 = (RATE * 8.0 + RATE) * (1.0 + OVERSHOOT) + 140_000.0;
+
+fn tenants() -> Vec<Arc<Tenant>> {
+    let quota = Quota { rate: RATE, burst: RATE, counts_tokens: true, default_tokens: 200 };
+    let tenant = Tenant { name: "a".into(), keys: Vec::new(), priority: None, quota: Some(quota) };
+    vec![Arc::new(tenant)]
+}
+
+fn started(is_first_start: bool, now: Duration) -> Quotas {
+    let mut quotas = Quotas::new(WINDOW, is_first_start);
+    quotas.configure(&tenants(), now);
+    quotas
+}
+
+/// Asks for seven times the rate from `from` to `to` and gives what was admitted, with times.
+fn press(quotas: &mut Quotas, from: u64, to: u64) -> Vec<(u64, u64)> {
+    let mut admitted = Vec::new();
+    for ms in (from..to).step_by(10) {
+        if quotas.take("a", 7_000, Duration::from_millis(ms)).is_ok() {
+            admitted.push((ms, 7_000));
+        }
+    }
+    admitted
+}
+
+fn worst_window(admitted: &[(u64, u64)]) -> u64 {
+    let sum = |start: u64| {
+        let inside = admitted.iter().filter(|(ms, _)| (start..start + 8_000).contains(ms));
+        inside.map(|(_, units)| units).sum::<u64>()
+    };
+    admitted.iter().map(|(ms, _)| sum(*ms)).max().unwrap_or(0)
+}
+
+/// Guards against a second full window when all nodes are killed at once and forget the first.
+#[test]
+fn restart_of_all_keeps_the_quota() {
+    let mut admitted = press(&mut started(true, Duration::from_secs(100)), 100_000, 107_000);
+    let start = Duration::from_millis(107_500);
+    admitted.extend(press(&mut started(false, start), 107_500, 116_000));
+    let worst = worst_window(&admitted);
+    assert!((worst as f64) < BOUND, "{worst} units in a window, {BOUND} allowed");
+}
+
+/// Guards against refusals below the limit on a single node that was restarted: its peers know what
+/// was admitted.
+#[test]
+fn restarted_node_learns_from_a_peer() {
+    let now = Duration::from_secs(100);
+    let mut quotas = started(false, now);
+    assert!(quotas.take("a", 400_000, now).is_err(), "nothing is known yet");
+    quotas.adopt(Duration::from_secs(60), &[("a".into(), 200_000)], now);
+    assert_eq!(quotas.take("a", 400_000, now), Ok(()));
+}
+
+/// Guards against refusing the burst that a quota allows: a window holds nine seconds' rate.
+#[test]
+fn window_allows_its_burst() {
+    let now = Duration::from_secs(100);
+    let mut quotas = started(true, now);
+    assert_eq!(quotas.take("a", 850_000, now), Ok(()));
+    let again = quotas.take("a", 100_000, now);
+    assert!(again.is_err_and(|after| after > Duration::from_secs(7)), "{again:?}");
+}
+
+/// Guards against two sides of a cut that each use the whole quota.
+#[test]
+fn cut_leaves_the_part_of_the_silent() {
+    let now = Duration::from_secs(100);
+    let sum = |share: f64| {
+        let mut quotas = started(true, now);
+        quotas.set_share(share);
+        press(&mut quotas, 100_000, 108_000).iter().map(|(_, units)| units).sum::<u64>()
+    };
+    let both = sum(0.4) + sum(0.6);
+    assert!((both as f64) < BOUND, "{both} units on both sides, {BOUND} allowed");
+}
+
+/// Guards against counting a peer's history twice, or forgetting what it adds.
+#[test]
+fn peers_count_once() {
+    let now = Duration::from_secs(100);
+    let mut quotas = started(true, now);
+    let peer: Arc<str> = "b".into();
+    quotas.hear(&peer, 1, "a", 5_000_000, now);
+    assert_eq!(quotas.take("a", 100_000, now), Ok(()), "the past of a peer is not in the window");
+    quotas.hear(&peer, 1, "a", 5_800_000, now);
+    assert!(quotas.take("a", 100_000, now).is_err(), "what the peer adds is in the window");
+}
