--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -37,7 +37,7 @@
 use std::rc::Rc;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet};
 
 /// Runs a node until it is told to stop.
 ///
@@ -56,13 +56,21 @@
     let peers = UdpSocket::bind(listen.peers).await?;
     let metrics = TcpListener::bind(listen.metrics).await?;
     log::info!("gateway: event=start node={} start={}", node.settings.node, node.start);
-    tokio::task::spawn_local(serve::callers(node.clone(), callers));
-    tokio::task::spawn_local(serve::readiness(node.clone(), readiness));
-    tokio::task::spawn_local(serve::metrics(node.clone(), metrics));
-    tokio::task::spawn_local(follow::declarations(node.clone()));
-    tokio::task::spawn_local(follow::endpoints(node.clone()));
-    tokio::task::spawn_local(peers::talk(node.clone(), peers));
-    tokio::task::spawn_local(peers::discover(node.clone()));
-    tokio::task::spawn_local(duties::run(node.clone()));
-    stop::wait(node).await
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(serve::callers(node.clone(), callers));
+    tasks.spawn_local(serve::readiness(node.clone(), readiness));
+    tasks.spawn_local(serve::metrics(node.clone(), metrics));
+    tasks.spawn_local(follow::declarations(node.clone()));
+    tasks.spawn_local(follow::endpoints(node.clone()));
+    tasks.spawn_local(peers::talk(node.clone(), peers));
+    tasks.spawn_local(peers::discover(node.clone()));
+    let duties = tokio::task::spawn_local(duties::run(node.clone()));
+    tokio::select! {
+        result = stop::wait(node) => result,
+        // A node that lacks one of its parts would serve wrongly; a new start mends it.
+        Some(ended) = tasks.join_next() => {
+            Err(io::Error::other(format!("a part of the node ended: {ended:?}")))
+        }
+        Err(error) = duties => Err(io::Error::other(format!("the duties ended: {error}"))),
+    }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -184,35 +184,44 @@
     }
 }
 
-fn send(node: &Rc<Node>, socket: &UdpSocket) {
-    let now = clock::now();
-    let mut peers = node.peers.borrow_mut();
-    peers.serial += 1;
-    let beat = Beat {
+/// Collects what this node tells its peers. Each part is taken in a statement of its own, so that no
+/// two borrows of the same state overlap.
+fn compose(node: &Rc<Node>, now: Duration) -> Beat {
+    let (name, start, serial) = {
+        let mut peers = node.peers.borrow_mut();
+        peers.serial += 1;
+        (peers.node.clone(), peers.start, peers.serial)
+    };
+    let mut quotas = node.quotas.borrow_mut();
+    let window_sums = quotas.sums(now);
+    let admitted = quotas.own().map(|(name, units)| (name.clone(), units)).collect();
+    let usage = node.usage.borrow();
+    let usage = usage.own(WINDOWS_TOLD).map(|(window, counts)| (window, counts.clone())).collect();
+    let board = node.board.borrow();
+    let loads = board.own().map(|(id, load)| (id.clone(), load)).collect();
+    let demand = node.demand.borrow();
+    let demand = demand.own().map(|(service, total)| (service.clone(), total)).collect();
+    Beat {
         format: FORMAT,
-        node: peers.node.clone(),
-        start: peers.start,
-        serial: peers.serial,
+        node: name,
+        start,
+        serial,
         catalog_version: node.catalog().map_or(0, |catalog| catalog.version),
         true_ms: node.true_ms(),
-        admitted: node.quotas.borrow().own().map(|(name, units)| (name.clone(), units)).collect(),
-        window_sums: node.quotas.borrow_mut().sums(now),
+        admitted,
+        window_sums,
         uptime_ms: now.saturating_sub(node.began).as_millis() as u64,
-        usage: node
-            .usage
-            .borrow()
-            .own(WINDOWS_TOLD)
-            .map(|(window, counts)| (window, counts.clone()))
-            .collect(),
-        loads: node.board.borrow().own().map(|(id, load)| (id.clone(), load)).collect(),
-        demand: node
-            .demand
-            .borrow()
-            .own()
-            .map(|(service, total)| (service.clone(), total))
-            .collect(),
+        usage,
+        loads,
+        demand,
         tallies: node.shifts.borrow().told(),
-    };
+    }
+}
+
+fn send(node: &Rc<Node>, socket: &UdpSocket) {
+    let now = clock::now();
+    let beat = compose(node, now);
+    let peers = node.peers.borrow();
     match postcard::to_stdvec(&beat) {
         Ok(bytes) => {
             for address in peers.addresses(now) {
