Open a connection for each call to the cloud interface

A new connection proves the path before the order is sent; unacknowledged bytes are given up after 1 s.

--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -40,6 +40,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Time after which unacknowledged bytes are given up together with their connection.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Tells how an idle connection is shown to be alive before it is used again.
 #[derive(Debug, Clone, Copy)]
 enum Proof {
@@ -163,6 +166,7 @@
                 // A connection that is given up is reset: bytes that a cut holds back must not
                 // arrive after it has healed, when another holder of a duty may have acted.
                 socket.set_linger(Some(Duration::ZERO))?;
+                socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
             }
             http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
         };
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -54,6 +54,14 @@
         Client { pool: Arc::new(Pool::unprobed(address, IDLE_LIMIT)) }
     }
 
+    /// Makes a client that opens a connection for each call.
+    ///
+    /// What is sent on a kept connection during a cut may arrive when it has healed. A new
+    /// connection shows that the path works before the first byte of a call is sent.
+    pub fn unpooled(address: SocketAddr) -> Client {
+        Client { pool: Arc::new(Pool::unprobed(address, Duration::ZERO)) }
+    }
+
     /// Sends a request and reads the whole answer within a time.
     ///
     /// A call that runs into its time closes its connection: one whose answer was lost delivers
--- a/tests/lost_call.rs
+++ b/tests/lost_call.rs
@@ -6,7 +6,7 @@
 use http::Request;
 use http_body_util::Full;
 use pomelolink::gateway::link::Client;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// Guards against an order that a cut holds back and delivers after another holder has acted: a
@@ -27,3 +27,32 @@
     let read = read.expect("the connection ends").expect("the server ends");
     assert_eq!(read, Err(std::io::ErrorKind::ConnectionReset));
 }
+
+/// Guards against an order on a kept connection that is sent into a cut and arrives when it heals,
+/// seen as a lower fencing number after a higher one (trouble-3, 57.3 s).
+#[tokio::test]
+async fn unpooled_calls_open_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let client = Client::unpooled(listener.local_addr().expect("an address"));
+    let server = tokio::spawn(async move {
+        let mut connections = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            connections += 1;
+            let mut bytes = [0; 1_024];
+            let _ = stream.read(&mut bytes).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            tokio::spawn(async move { stream.read(&mut bytes).await.map(drop) });
+            if connections == 2 {
+                break;
+            }
+        }
+        connections
+    });
+    for _ in 0..2 {
+        let request = Request::post("/scale").body(Full::<Bytes>::default()).expect("a request");
+        let answer = client.call(request, Duration::from_secs(2)).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    }
+    let connections = tokio::time::timeout(Duration::from_secs(2), server).await;
+    assert_eq!(connections.expect("two connections").expect("the server ends"), 2);
+}
