--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod pump;
 pub mod queue;
 pub mod quota;
+mod recall;
 pub mod refusal;
 pub mod relay;
 pub mod roster;
@@ -64,6 +65,7 @@
     tasks.spawn_local(follow::endpoints(node.clone()));
     tasks.spawn_local(peers::talk(node.clone(), peers));
     tasks.spawn_local(peers::discover(node.clone()));
+    tokio::task::spawn_local(recall::load(node.clone()));
     let duties = tokio::task::spawn_local(duties::run(node.clone()));
     tokio::select! {
         result = stop::wait(node) => result,
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -15,6 +15,7 @@
 use crate::gateway::fleet;
 use crate::gateway::node::Node;
 use crate::gateway::platform::{Acceptance, Order, Phase, Progress, Signature, Usage};
+use crate::gateway::recall;
 use crate::lease::{Action, Event, Holder, State};
 use crate::platform::{Outcome, Transaction};
 
@@ -66,7 +67,12 @@
     let process: Arc<str> = format!("{}/{}", node.settings.node, node.start).into();
     let state = State::new(LEASE_KEY.to_owned(), process, term);
     let office = Rc::new(Office { node, lease: RefCell::new(state) });
-    tokio::join!(keep_lease(office.clone()), work(office.clone()), order_endpoints(office));
+    tokio::join!(
+        keep_lease(office.clone()),
+        work(office.clone()),
+        record_counts(office.clone()),
+        order_endpoints(office),
+    );
 }
 
 /// Acquires and renews the lease. It is left to lapse when the process stops: a holder that returned
@@ -117,6 +123,19 @@
     }
 }
 
+/// Keeps in the store what the nodes count, for a start after all of them were lost.
+async fn record_counts(office: Rc<Office>) {
+    let mut writer = recall::Writer::default();
+    loop {
+        tokio::time::sleep(recall::PERIOD).await;
+        if office.holder().is_some() {
+            writer.write(&office.node).await;
+        } else {
+            writer = recall::Writer::default();
+        }
+    }
+}
+
 /// Writes the phases of the roll-outs for the operators.
 async fn tell_phases(office: &Rc<Office>, told: &mut HashMap<(Arc<str>, u64), Phase>) {
     let node = &office.node;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -20,7 +20,7 @@
 use crate::gateway::roster::Roster;
 use crate::gateway::settings::Settings;
 use crate::gateway::shift::Shifts;
-use crate::gateway::usage::Usage;
+use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, metrics};
 
 /// Waiting requests of one service, each with the signal that it may try again.
@@ -121,6 +121,11 @@
         })
     }
 
+    /// Identifies this run of the node in counts.
+    pub fn source(&self) -> Source {
+        (self.settings.node.clone(), self.start)
+    }
+
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.borrow().clone()
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -103,10 +103,47 @@
         self.is_unsure = false;
         for (name, ledger) in &mut self.ledgers {
             let sum = sums.iter().find(|(tenant, _)| tenant == name).map_or(0, |(_, sum)| *sum);
+            // The peer may not have heard yet what this node has admitted itself.
+            let own = ledger.own;
             ledger.seed(sum as f64, self.window, now);
+            ledger.add(own, now);
         }
     }
 
+    /// Tells whether this node still has to learn what was admitted before its start.
+    pub fn is_unsure(&self) -> bool {
+        self.is_unsure
+    }
+
+    /// Takes from the store what all nodes had admitted in the window before they were killed.
+    ///
+    /// `age` is the time since then; within `unrecorded` after it, each tenant may have gone on at
+    /// the rate of its quota. Gives `false` as long as no tenants are known.
+    pub fn recall(
+        &mut self,
+        sums: &[(Arc<str>, u64)],
+        age: Duration,
+        unrecorded: Duration,
+        now: Duration,
+    ) -> bool {
+        if !self.is_unsure || !self.configured {
+            return !self.is_unsure;
+        }
+        self.is_unsure = false;
+        let window = self.window;
+        for (name, ledger) in &mut self.ledgers {
+            let sum = sums.iter().find(|(tenant, _)| tenant == name).map_or(0, |(_, sum)| *sum);
+            let limit = ledger.limit(window);
+            let own: u64 = ledger.own;
+            ledger.seed(sum as f64, window, now.saturating_sub(age));
+            let unknown = unrecorded.min(age).as_secs_f64() / window.as_secs_f64() * limit;
+            let unknown = unknown.min((limit - ledger.sum as f64).max(0.0));
+            ledger.add(unknown as u64 + own, now.saturating_sub(age.saturating_sub(unrecorded)));
+            ledger.expire(window, now);
+        }
+        true
+    }
+
     /// Gives what all nodes have admitted in the window, for a peer that has just started.
     pub fn sums(&mut self, now: Duration) -> Vec<(Arc<str>, u64)> {
         let window = self.window;
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -36,6 +36,24 @@
         }
     }
 
+    /// Takes counts that the store has kept, unless their source has told newer ones itself.
+    pub fn recall(&mut self, source: Source, window: u64, counts: Counts) {
+        self.peers.entry(window).or_default().entry(source).or_insert(counts);
+        while self.peers.len() > WINDOWS {
+            self.peers.pop_first();
+        }
+    }
+
+    /// Gives the counts of all sources in the newest windows.
+    pub fn all(&self, own: &Source, newest: usize) -> Vec<(Source, u64, Counts)> {
+        let peers = self.peers.iter().rev().take(newest);
+        let peers = peers.flat_map(|(window, sources)| {
+            sources.iter().map(|(source, counts)| (source.clone(), *window, counts.clone()))
+        });
+        let own = self.own(newest).map(|(window, counts)| (own.clone(), window, counts.clone()));
+        own.chain(peers).collect()
+    }
+
     /// Gives this node's own counts of the newest windows, for its peers.
     pub fn own(&self, newest: usize) -> impl Iterator<Item = (u64, &Counts)> {
         self.own.iter().rev().take(newest).map(|(window, counts)| (*window, counts))
--- a/tests/quota_window.rs
+++ b/tests/quota_window.rs
@@ -99,3 +99,23 @@
     quotas.hear(&peer, 1, "a", 5_800_000, now);
     assert!(quotas.take("a", 100_000, now).is_err(), "what the peer adds is in the window");
 }
+
+/// Guards against a second window after a loss of all nodes, and against refusing tenants that had
+/// used little of theirs: the store keeps the sums.
+#[test]
+fn sums_are_recalled_from_the_store() {
+    let mut before = started(true, Duration::from_secs(100));
+    let mut admitted = press(&mut before, 100_000, 107_000);
+    let sums = before.sums(Duration::from_millis(107_000));
+    let start = Duration::from_millis(108_500);
+    let mut quotas = started(false, start);
+    let (age, unrecorded) = (Duration::from_millis(1_500), Duration::from_millis(1_200));
+    assert!(quotas.recall(&sums, age, unrecorded, start));
+    admitted.extend(press(&mut quotas, 108_500, 117_000));
+    let worst = worst_window(&admitted);
+    assert!((worst as f64) < BOUND, "{worst} units in a window, {BOUND} allowed");
+
+    let mut quotas = started(false, start);
+    assert!(quotas.recall(&[("a".into(), 200_000)], age, unrecorded, start));
+    assert_eq!(quotas.take("a", 300_000, start), Ok(()), "little was used before");
+}
