Hold calls on declarations for a part of the age that keys may reach

Cause: with a short bound on revocations a node refused keyed requests for part of each call, since an answer confirms the keys as of the time before its call was sent (platform test draining_worker_gets_nothing failed with 503, cause stale_keys).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,8 +9,11 @@
 use crate::gateway::platform::{Change, Declaration, Follow};
 use crate::platform::Failure;
 
-/// Time for which the store may hold a call on declarations; each answer confirms the keys.
+/// Longest time for which the store may hold a call on declarations.
 const DECLARATION_WAIT: Duration = Duration::from_millis(1_000);
+/// Parts of the age that keys may reach for which the store may hold a call: an answer confirms the
+/// keys as of the time before the call was sent, so they are two such parts old when it is late.
+const WAITS_PER_KEY_AGE: u32 = 4;
 /// Time for which the store may hold a call on endpoints.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause between two reads of endpoints: their regular reports change the list all the time, and
@@ -23,9 +26,10 @@
 pub async fn declarations(node: Rc<Node>) {
     let mut after = None;
     let mut connected = true;
+    let wait = DECLARATION_WAIT.min(node.settings.bounds.key_age() / WAITS_PER_KEY_AGE);
     loop {
         let sent = clock::now();
-        let follow = Follow { after, wait: DECLARATION_WAIT };
+        let follow = Follow { after, wait };
         match (node.platform.declarations)(follow).await {
             Ok(batch) => {
                 note_connection(&mut connected, true, "declarations", "");
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -25,7 +25,7 @@
     "spot_price",
     "preemptible",
     "desired_count",
-    "row_version",
+    "transaction_ms",
 ];
 
 fn check(folder: &Path, found: &mut Vec<String>) {
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -36,6 +36,9 @@
     (new as f64 / total as f64, phases[0].3)
 }
 
+/// Tells at a time of the roll-out whether the new version answers a request well.
+type Behaviour = fn(Duration, u64) -> bool;
+
 /// Guards against a good version that isn't taken in by the deadline.
 #[test]
 fn good_version_completes() {
@@ -46,7 +49,7 @@
 /// of the requests, or only later.
 #[test]
 fn bad_version_is_reverted() {
-    let cases: [(&str, fn(Duration, u64) -> bool); 3] = [
+    let cases: [(&str, Behaviour); 3] = [
         ("at once", |_, _| false),
         ("half of the answers", |_, request| request % 2 == 0),
         ("later", |elapsed, _| elapsed < WITHIN / 2),
