Move the streams of a leaving endpoint with their state

A stream still running a second before its endpoint is gone is stopped, its state is copied and it goes on elsewhere.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 mod forward;
 mod handle;
+pub mod handover;
 pub mod link;
 mod metrics;
 mod node;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -50,6 +50,11 @@
         ledger.requests.push_back(now);
     }
 
+    /// Counts a repeat that is made whatever the budget says: the rest of a stream that was moved.
+    pub fn record_repeat(&mut self, service: &Arc<str>, now: Duration) {
+        self.ledgers.entry(service.clone()).or_default().repeats.push_back(now);
+    }
+
     /// Takes one repeat, unless this node has used up its part.
     pub fn take(&mut self, service: &Arc<str>, nodes: usize, now: Duration) -> bool {
         let rule = self.rule;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -119,16 +119,19 @@
 
 fn apply(node: &Rc<Node>, changes: Vec<Change>, complete: bool) {
     let now = clock::now();
+    let drain = node.settings.bounds.drain;
     let mut roster = node.roster.borrow_mut();
     roster.expire(now);
+    let mut departs = complete;
     if complete {
-        roster.replace(changes, now);
+        roster.replace(changes, drain, now);
     } else {
         for change in changes {
             if let Change::Seen(endpoint) = &change {
                 note_change(&roster, endpoint, node);
             }
-            if let Some(id) = roster.apply(change, now) {
+            if let Some(id) = roster.apply(change, drain, now) {
+                departs = true;
                 log::debug!("follow: event=endpoint_leaving endpoint={id}");
             }
         }
@@ -136,7 +139,9 @@
     node.board.borrow_mut().retain(|id| roster.get(id).is_some());
     node.links.retain(|id| roster.get(id).is_some());
     drop(roster);
-    node.leaving.notify_waiters();
+    if departs {
+        node.departures.send_modify(|count| *count += 1);
+    }
     node.wake_all();
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -95,6 +95,15 @@
     }
 }
 
+/// Says where a stream goes on.
+#[derive(Debug, Clone, Default)]
+pub struct Resume {
+    /// Identifier of the last event that the caller has got.
+    pub last_event: Option<Arc<str>>,
+    /// State that the endpoint goes on from, if it was moved.
+    pub state: Option<Arc<str>>,
+}
+
 /// Remembers what has happened to a request so far.
 #[derive(Debug, Default)]
 pub struct History {
@@ -148,7 +157,7 @@
         let endpoint = placed.endpoint.id.clone();
         history.tried.push(endpoint.clone());
         history.sent += 1;
-        let attempt = attempt(&node, &ask, placed, None).await;
+        let attempt = attempt(&node, &ask, placed, Resume::default()).await;
         let refusal = match attempt {
             Attempt::Answer(response) => {
                 let repeat = response.status().is_server_error() && ask.route.is_repeatable();
@@ -303,6 +312,14 @@
     Ok(Turn { node: node.clone(), service, rank, notify })
 }
 
+/// Finds an endpoint with room now, without waiting for one.
+pub fn place_now(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Option<Placed> {
+    match choose(node, ask, tried, clock::now()) {
+        Chosen::Endpoint(placed) => Some(placed),
+        Chosen::Full | Chosen::NoEndpoint => None,
+    }
+}
+
 enum Chosen {
     Endpoint(Placed),
     Full,
@@ -343,25 +360,15 @@
 }
 
 /// Sends a request to one endpoint and waits for the answer, or for the first event of a stream.
-pub async fn attempt(
-    node: &Rc<Node>,
-    ask: &Ask,
-    placed: Placed,
-    last_event: Option<Arc<str>>,
-) -> Attempt {
+pub async fn attempt(node: &Rc<Node>, ask: &Ask, placed: Placed, resume: Resume) -> Attempt {
     let left = ask.until.saturating_sub(clock::now());
-    match tokio::time::timeout(left, exchange(node, ask, placed, last_event)).await {
+    match tokio::time::timeout(left, exchange(node, ask, placed, resume)).await {
         Ok(attempt) => attempt,
         Err(_) => Attempt::TimedOut,
     }
 }
 
-fn build(
-    node: &Node,
-    ask: &Ask,
-    endpoint: &Endpoint,
-    last_event: Option<Arc<str>>,
-) -> Request<Full<Bytes>> {
+fn build(node: &Node, ask: &Ask, endpoint: &Endpoint, resume: Resume) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(ask.body.clone()));
     *request.method_mut() = ask.head.method.clone();
     *request.uri_mut() = ask.head.uri.clone();
@@ -372,18 +379,14 @@
         tenant: ask.tenant.as_ref().map(|tenant| tenant.name.clone()),
         left: ask.deadline.unwrap_or(ask.until).min(ask.until).saturating_sub(now),
         priority: ask.demand.prompt.is_some().then_some(ask.priority.min(9)),
-        last_event: last_event.or_else(|| ask.demand.last_event.clone()),
+        last_event: resume.last_event.or_else(|| ask.demand.last_event.clone()),
+        state: resume.state,
     };
     (node.dialect.dispatch)(request.headers_mut(), &dispatch);
     request
 }
 
-async fn exchange(
-    node: &Rc<Node>,
-    ask: &Ask,
-    placed: Placed,
-    last_event: Option<Arc<str>>,
-) -> Attempt {
+async fn exchange(node: &Rc<Node>, ask: &Ask, placed: Placed, resume: Resume) -> Attempt {
     let pool = node.links.pool(&placed.endpoint.id, placed.endpoint.address);
     let mut connection = match pool.checkout().await {
         Ok(connection) => connection,
@@ -392,7 +395,7 @@
             return Attempt::Unsent(reason);
         }
     };
-    let request = build(node, ask, &placed.endpoint, last_event);
+    let request = build(node, ask, &placed.endpoint, resume);
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(Failure::NotRun(reason)) => return Attempt::Unsent(reason),
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::gateway::budget::{Budget, Rule};
 use crate::gateway::catalog::Catalog;
@@ -78,8 +78,8 @@
     pub stop: Notify,
     /// Requests being served.
     pub active: Cell<usize>,
-    /// Signalled when an endpoint is found to be leaving.
-    pub leaving: Notify,
+    /// Counts the changes in which endpoints were found to be leaving.
+    pub departures: watch::Sender<u64>,
 }
 
 impl Node {
@@ -116,7 +116,7 @@
             stopping: Cell::default(),
             stop: Notify::new(),
             active: Cell::default(),
-            leaving: Notify::new(),
+            departures: watch::Sender::new(0),
             settings,
         })
     }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -58,6 +58,8 @@
     pub slots: u32,
     pub draining: bool,
     pub reclaimable: bool,
+    /// Time until a draining endpoint is gone, where it is known.
+    pub leaves_in: Option<Duration>,
     /// Unix time of its start in milliseconds, which tells two starts under one id apart.
     pub born_ms: u64,
 }
@@ -100,6 +102,25 @@
     Unavailable,
 }
 
+/// Asks an endpoint to stop a stream and to copy its state to another one.
+#[derive(Debug, Clone)]
+pub struct Transfer {
+    /// Identifies the request that the endpoint runs.
+    pub id: Arc<str>,
+    pub from: SocketAddr,
+    pub to: SocketAddr,
+    pub timeout: Duration,
+}
+
+/// Names the state of a stopped stream.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// Names the state to the endpoint that goes on with it.
+    pub name: Arc<str>,
+    /// Set when the copy has arrived; otherwise only the old endpoint has it.
+    pub is_copied: bool,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     InProgress,
@@ -131,6 +152,8 @@
     pub transact: Call<Transaction, Outcome>,
     pub usage: Call<Usage, Acceptance>,
     pub order: Call<Order, Acceptance>,
+    /// Stops a stream and copies its state to another endpoint.
+    pub transfer: Call<Transfer, State>,
     pub progress: Call<Progress, ()>,
 }
 
@@ -176,6 +199,8 @@
     pub priority: Option<u8>,
     /// Identifier of the last event that the caller has got.
     pub last_event: Option<Arc<str>>,
+    /// State of the stream from which the endpoint goes on.
+    pub state: Option<Arc<str>>,
 }
 
 /// Holds what the head of an endpoint's answer says beside its status.
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -1,5 +1,7 @@
-//! Passes the events of a stream on, and goes on at another endpoint when its endpoint is lost.
+//! Passes the events of a stream on, and goes on at another endpoint when its endpoint is lost or
+//! leaves.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,14 +9,22 @@
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
+use tokio::time::{Sleep, sleep, timeout};
 
 use crate::gateway::clock;
-use crate::gateway::forward::{self, Attempt, History, Open};
+use crate::gateway::forward::{self, Attempt, History, Open, Resume};
 use crate::gateway::handle::{Active, Ask};
+use crate::gateway::handover::{self, Moved};
 use crate::gateway::node::Node;
 use crate::gateway::relay::{Body, Broken};
 
+/// Time that the last events of a stopped stream have to arrive.
+const REST_TIME: Duration = Duration::from_millis(100);
+/// A time that no stream reaches.
+const NEVER: Duration = Duration::from_secs(86_400);
+
 type Events = mpsc::Sender<Result<Bytes, Broken>>;
+type Transferring = Pin<Box<dyn Future<Output = Option<Moved>>>>;
 
 /// Tells why the events of one endpoint ended.
 enum End {
@@ -22,6 +32,7 @@
     CallerGone,
     TimedOut,
     Broken(String),
+    Moved(Box<Moved>),
 }
 
 /// Answers a caller with a stream whose first event has come.
@@ -38,6 +49,7 @@
     (node.dialect.relay)(&mut head.headers);
     let (events, body) = Body::stream();
     tokio::task::spawn_local(async move {
+        let ask = Rc::new(ask);
         let outcome = pump(&node, &ask, history, open, events).await;
         node.metrics.record_outcome(&ask.route.name, outcome);
         drop(active);
@@ -47,13 +59,13 @@
 
 async fn pump(
     node: &Rc<Node>,
-    ask: &Ask,
+    ask: &Rc<Ask>,
     mut history: History,
     mut open: Open,
     events: Events,
 ) -> &'static str {
     loop {
-        match relay(ask, &mut open, &events).await {
+        let next = match relay(node, ask, &mut open, &events).await {
             End::Complete => return "answered",
             End::CallerGone => {
                 note(ask, &open, "caller_gone", "");
@@ -65,16 +77,18 @@
                 let _ = events.send(Err(Broken)).await;
                 return "timeout";
             }
+            End::Moved(moved) => go_on(node, ask, &mut history, &open, *moved).await,
             End::Broken(reason) => {
                 open.placed.record_failure();
                 note(ask, &open, "stream_broken", &reason);
-                match resume(node, ask, &mut history, &open).await {
-                    Some(next) => open = next,
-                    None => {
-                        let _ = events.send(Err(Broken)).await;
-                        return "broken";
-                    }
-                }
+                resume(node, ask, &mut history, &open).await
+            }
+        };
+        match next {
+            Some(next) => open = next,
+            None => {
+                let _ = events.send(Err(Broken)).await;
+                return "broken";
             }
         }
     }
@@ -91,8 +105,16 @@
     );
 }
 
-/// Passes the events of one endpoint on until they end.
-async fn relay(ask: &Ask, open: &mut Open, events: &Events) -> End {
+/// Sets a timer to the move of a stream whose endpoint leaves.
+fn arm(node: &Node, open: &Open, timer: &mut Pin<Box<Sleep>>) {
+    let now = clock::now();
+    if let Some(due) = handover::due(node, &open.placed, now) {
+        *timer = Box::pin(sleep(due.saturating_sub(now)));
+    }
+}
+
+/// Passes the events of one endpoint on until they end or the stream is moved.
+async fn relay(node: &Rc<Node>, ask: &Rc<Ask>, open: &mut Open, events: &Events) -> End {
     let first = std::mem::take(&mut open.first);
     if !first.is_empty() && events.send(Ok(first)).await.is_err() {
         return End::CallerGone;
@@ -100,14 +122,34 @@
     if open.ended {
         return End::Complete;
     }
-    let left = ask.until.saturating_sub(clock::now());
-    let timeout = tokio::time::sleep(left);
-    tokio::pin!(timeout);
+    let mut deadline = Box::pin(sleep(ask.until.saturating_sub(clock::now())));
+    let mut departures = node.departures.subscribe();
+    let mut move_timer = Box::pin(sleep(NEVER));
+    let mut transferring: Option<Transferring> = None;
+    let moves = engine_moves(node, ask);
+    if moves {
+        arm(node, open, &mut move_timer);
+    }
     loop {
         let frame = tokio::select! {
             frame = open.body.frame() => frame,
             () = events.closed() => return End::CallerGone,
-            () = timeout.as_mut() => return End::TimedOut,
+            () = deadline.as_mut() => return End::TimedOut,
+            // The sender lives as long as the node.
+            Ok(()) = departures.changed(), if moves && transferring.is_none() => {
+                arm(node, open, &mut move_timer);
+                continue;
+            }
+            () = move_timer.as_mut(), if transferring.is_none() => {
+                move_timer = Box::pin(sleep(NEVER));
+                let from = open.placed.endpoint.clone();
+                transferring = Some(Box::pin(handover::transfer(node.clone(), ask.clone(), from)));
+                continue;
+            }
+            moved = finish(&mut transferring) => {
+                let Some(moved) = moved else { transferring = None; continue };
+                return rest(open, events, moved).await;
+            }
         };
         match frame {
             Some(Ok(frame)) => {
@@ -117,18 +159,99 @@
                     return End::CallerGone;
                 }
             }
-            None if open.splitter.is_whole() => {
-                open.lent.release();
-                return End::Complete;
+            ended if transferring.is_some() => {
+                // The endpoint has stopped the stream for the move, or it has ended before.
+                match finish(&mut transferring).await {
+                    Some(moved) => return End::Moved(Box::new(moved)),
+                    None => return end(open, ended.map(|frame| frame.map(drop))),
+                }
             }
-            None => return End::Broken("it ended within an event".to_owned()),
-            Some(Err(error)) => return End::Broken(error.to_string()),
+            ended => return end(open, ended.map(|frame| frame.map(drop))),
+        }
+    }
+}
+
+/// Tells how a stream ended whose last frame is `ended`.
+fn end(open: &mut Open, ended: Option<Result<(), hyper::Error>>) -> End {
+    match ended {
+        None if open.splitter.is_whole() => {
+            open.lent.release();
+            End::Complete
+        }
+        Some(Err(error)) => End::Broken(error.to_string()),
+        _ => End::Broken("it ended within an event".to_owned()),
+    }
+}
+
+fn engine_moves(node: &Node, ask: &Ask) -> bool {
+    let catalog = node.catalog();
+    let engine = catalog.as_ref().and_then(|it| it.services.get(&ask.service)?.engine);
+    engine.is_some_and(|engine| engine.moves)
+}
+
+/// Waits for the end of a move; for ever when there is none.
+async fn finish(transferring: &mut Option<Transferring>) -> Option<Moved> {
+    match transferring {
+        Some(transferring) => transferring.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Passes the last events of a stopped stream on.
+async fn rest(open: &mut Open, events: &Events, moved: Moved) -> End {
+    let read = async {
+        while let Some(Ok(frame)) = open.body.frame().await {
+            let Ok(data) = frame.into_data() else { continue };
+            let Some(whole) = open.splitter.push(data) else { continue };
+            if events.send(Ok(whole)).await.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    match timeout(REST_TIME, read).await {
+        Ok(false) => End::CallerGone,
+        // What has not come by then is generated again from the state.
+        Ok(true) | Err(_) => End::Moved(Box::new(moved)),
+    }
+}
+
+/// Lets the endpoint that has the state of a stopped stream go on with it.
+async fn go_on(
+    node: &Rc<Node>,
+    ask: &Rc<Ask>,
+    history: &mut History,
+    stopped: &Open,
+    moved: Moved,
+) -> Option<Open> {
+    let Moved { placed, state } = moved;
+    let last_event = stopped.splitter.last_id.clone();
+    let endpoint = placed.endpoint.id.clone();
+    history.tried.push(endpoint.clone());
+    node.budget.borrow_mut().record_repeat(&ask.service, clock::now());
+    let resume = Resume { last_event: last_event.clone(), state: Some(state.name) };
+    match forward::attempt(node, ask, placed, resume).await {
+        Attempt::Stream(mut open) => {
+            open.splitter.last_id = open.splitter.last_id.or(last_event);
+            Some(*open)
+        }
+        other => {
+            log::warn!(
+                "pump: event=move_lost id={} endpoint={endpoint} attempt={other:?}",
+                ask.demand.id
+            );
+            self::resume(node, ask, history, stopped).await
         }
     }
 }
 
 /// Goes on at another endpoint after the last event that the caller has got.
-async fn resume(node: &Rc<Node>, ask: &Ask, history: &mut History, broken: &Open) -> Option<Open> {
+async fn resume(
+    node: &Rc<Node>,
+    ask: &Rc<Ask>,
+    history: &mut History,
+    broken: &Open,
+) -> Option<Open> {
     if !ask.route.resumable {
         return None;
     }
@@ -142,8 +265,8 @@
         endpoint = placed.endpoint.id.clone();
         history.tried.push(endpoint.clone());
         history.sent += 1;
-        let attempt = forward::attempt(node, ask, placed, Some(last.clone())).await;
-        match attempt {
+        let resume = Resume { last_event: Some(last.clone()), state: None };
+        match forward::attempt(node, ask, placed, resume).await {
             Attempt::Stream(mut open) => {
                 open.splitter.last_id.get_or_insert(last);
                 return Some(*open);
@@ -154,6 +277,5 @@
                 ask.demand.id
             ),
         }
-        tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -78,6 +78,8 @@
 pub struct Entry {
     pub endpoint: Endpoint,
     pub health: Health,
+    /// Time at which the endpoint will be gone, once it is known to leave.
+    pub leaves_at: Option<Duration>,
     /// Time at which the entry vanished while the store was in trouble.
     missing_since: Option<Duration>,
 }
@@ -98,6 +100,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: HashMap<Arc<str>, Entry>,
+    /// Endpoints whose entries vanished, with the time at which they will be gone.
+    departed: HashMap<Arc<str>, Duration>,
     last_trouble: Option<Duration>,
 }
 
@@ -108,7 +112,9 @@
     }
 
     /// Takes a change and gives the endpoints that must get nothing more.
-    pub fn apply(&mut self, change: Change, now: Duration) -> Option<Arc<str>> {
+    ///
+    /// An endpoint that doesn't tell when it will be gone is there for `drain` at least.
+    pub fn apply(&mut self, change: Change, drain: Duration, now: Duration) -> Option<Arc<str>> {
         match change {
             Change::Seen(endpoint) => {
                 let id = endpoint.id.clone();
@@ -116,10 +122,16 @@
                 let entry = self.entries.entry(id).or_insert_with(|| Entry {
                     endpoint: endpoint.clone(),
                     health: Health::default(),
+                    leaves_at: None,
                     missing_since: None,
                 });
                 if entry.endpoint.born_ms != endpoint.born_ms {
                     entry.health = Health::default();
+                    entry.leaves_at = None;
+                }
+                if endpoint.draining {
+                    let left = endpoint.leaves_in.unwrap_or(drain);
+                    entry.leaves_at.get_or_insert(now + left);
                 }
                 entry.missing_since = None;
                 entry.endpoint = endpoint;
@@ -130,8 +142,9 @@
                 let recent = trouble.is_some_and(|at| now.saturating_sub(at) < 2 * GRACE);
                 if recent && let Some(entry) = self.entries.get_mut(&id) {
                     entry.missing_since.get_or_insert(now);
-                } else {
-                    self.entries.remove(&id);
+                } else if let Some(entry) = self.entries.remove(&id) {
+                    let leaves_at = entry.leaves_at.unwrap_or(now + drain);
+                    self.departed.insert(id.clone(), leaves_at);
                 }
                 Some(id)
             }
@@ -139,23 +152,35 @@
     }
 
     /// Takes a complete list: what it doesn't hold is gone.
-    pub fn replace(&mut self, changes: Vec<Change>, now: Duration) {
+    pub fn replace(&mut self, changes: Vec<Change>, drain: Duration, now: Duration) {
         let mut listed: Vec<Arc<str>> = Vec::new();
         for change in changes {
             if let Change::Seen(endpoint) = &change {
                 listed.push(endpoint.id.clone());
             }
-            self.apply(change, now);
+            self.apply(change, drain, now);
         }
         let missing: Vec<_> =
             self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
-            self.apply(Change::Gone(id), now);
+            self.apply(Change::Gone(id), drain, now);
+        }
+    }
+
+    /// Gives the time at which an endpoint will be gone; `None` while it stays.
+    ///
+    /// Some endpoints leave without saying so: their entry vanishes, and they go on for as long as
+    /// one that drains.
+    pub fn leaves_at(&self, id: &str, born_ms: u64) -> Option<Duration> {
+        match self.entries.get(id) {
+            Some(entry) if entry.endpoint.born_ms == born_ms => entry.leaves_at,
+            _ => self.departed.get(id).copied(),
         }
     }
 
-    /// Drops entries that did not come back after an outage of the store.
+    /// Drops entries that did not come back after an outage of the store, and what is long gone.
     pub fn expire(&mut self, now: Duration) {
+        self.departed.retain(|_, leaves_at| now < *leaves_at + FORGIVE);
         self.entries.retain(|_, entry| entry.missing_since.is_none_or(|since| now < since + GRACE));
     }
 
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -22,6 +22,7 @@
         slots: 32,
         draining: false,
         reclaimable: true,
+        leaves_in: None,
         born_ms: 0,
     }
 }
--- a/tests/roster_health.rs
+++ b/tests/roster_health.rs
@@ -6,6 +6,9 @@
 use pomelolink::gateway::platform::{Change, Endpoint};
 use pomelolink::gateway::roster::Roster;
 
+/// Time for which a draining endpoint goes on.
+const DRAIN: Duration = Duration::from_secs(2);
+
 fn at(ms: u64) -> Duration {
     Duration::from_millis(100_000 + ms)
 }
@@ -20,6 +23,7 @@
         slots: 6,
         draining,
         reclaimable: false,
+        leaves_in: None,
         born_ms,
     })
 }
@@ -33,9 +37,9 @@
 #[test]
 fn leaving_gets_nothing() {
     let mut roster = Roster::default();
-    roster.apply(endpoint("e", false, 1), at(0));
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
     assert_eq!(usable(&roster, 0), ["e".into()]);
-    roster.apply(endpoint("e", true, 1), at(10));
+    roster.apply(endpoint("e", true, 1), DRAIN, at(10));
     assert!(usable(&roster, 10).is_empty());
 }
 
@@ -44,16 +48,16 @@
 #[test]
 fn entries_missing_after_an_outage() {
     let mut roster = Roster::default();
-    roster.apply(endpoint("e", false, 1), at(0));
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
     roster.record_trouble(at(5_000));
-    roster.apply(Change::Gone("e".into()), at(6_000));
+    roster.apply(Change::Gone("e".into()), DRAIN, at(6_000));
     assert_eq!(usable(&roster, 6_000), ["e".into()]);
     assert!(usable(&roster, 8_000).is_empty(), "it did not come back");
     roster.expire(at(8_000));
     assert_eq!(roster.iter().count(), 0);
 
-    roster.apply(endpoint("f", false, 1), at(20_000));
-    roster.apply(Change::Gone("f".into()), at(20_100));
+    roster.apply(endpoint("f", false, 1), DRAIN, at(20_000));
+    roster.apply(Change::Gone("f".into()), DRAIN, at(20_100));
     assert!(usable(&roster, 20_100).is_empty());
 }
 
@@ -61,7 +65,7 @@
 #[test]
 fn grey_endpoints_are_paused() {
     let mut roster = Roster::default();
-    roster.apply(endpoint("e", false, 1), at(0));
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
     let mut paused = 0;
     for ms in (0..10_000).step_by(50) {
         let health = roster.health("e").expect("listed");
@@ -80,7 +84,7 @@
 #[test]
 fn usual_failures_are_borne() {
     let mut roster = Roster::default();
-    roster.apply(endpoint("e", false, 1), at(0));
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
     for step in 0..700_u64 {
         let health = roster.health("e").expect("listed");
         assert!(!health.is_paused(at(step * 50)), "paused at step {step}");
@@ -92,11 +96,28 @@
 #[test]
 fn new_start_begins_afresh() {
     let mut roster = Roster::default();
-    roster.apply(endpoint("e", false, 1), at(0));
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
     for _ in 0..5 {
         roster.health("e").expect("listed").record_failure(at(10));
     }
     assert!(usable(&roster, 20).is_empty());
-    roster.apply(endpoint("e", false, 2), at(30));
+    roster.apply(endpoint("e", false, 2), DRAIN, at(30));
     assert_eq!(usable(&roster, 30), ["e".into()]);
 }
+
+/// Guards against streams that are moved too late: an endpoint may vanish without draining, and what
+/// happens later must not put its end off.
+#[test]
+fn departed_endpoints_keep_their_time() {
+    let mut roster = Roster::default();
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
+    roster.apply(endpoint("f", false, 1), DRAIN, at(0));
+    assert_eq!(roster.leaves_at("e", 1), None);
+    roster.apply(Change::Gone("e".into()), DRAIN, at(500));
+    roster.apply(Change::Gone("f".into()), DRAIN, at(1_500));
+    assert_eq!(roster.leaves_at("e", 1), Some(at(2_500)));
+    roster.apply(endpoint("g", false, 1), DRAIN, at(600));
+    roster.apply(endpoint("g", true, 1), DRAIN, at(700));
+    roster.apply(endpoint("g", true, 1), DRAIN, at(1_200));
+    assert_eq!(roster.leaves_at("g", 1), Some(at(2_700)), "the first report counts");
+}
