Keep shared parts at home, hear the holder from peers, and read the store less

Causes and changes, one price line each: shared parts read again (each node learned homes alone: now first and second home by rendezvous hashing), calls to the store (observers of the lease now hear the holder from their peers; endpoints are read every 0.7 s; failed reads back off), refusals after a start (advice of at most 0.3 s until the sums are known, and not ready until then, 1.5 s at most).

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -25,6 +25,8 @@
 const TERM_MARGIN: Duration = Duration::from_millis(1_500);
 /// Time that must be left on the lease when a call is sent; calls take at most a second.
 const CALL_MARGIN: Duration = Duration::from_millis(1_100);
+/// Time between two looks for the holder among the peers.
+const LISTEN_PERIOD: Duration = Duration::from_millis(200);
 /// Period of the holder's work.
 const PERIOD: Duration = Duration::from_millis(250);
 /// Time after the end of a window by which the peers have told their counts.
@@ -82,7 +84,14 @@
     let mut fence = None;
     loop {
         let action = office.lease.borrow_mut().next(clock::now());
+        // A lease that has run out must not keep the peers from looking for a holder.
+        node.holds_duties.set(office.lease.borrow().holder().is_some());
         let event = match action {
+            // While the holder is heard, there is no need to ask the store.
+            Action::Read if node.peers.borrow().hears_holder(clock::now()) => {
+                tokio::time::sleep(LISTEN_PERIOD).await;
+                continue;
+            }
             Action::Read => {
                 let rows = (node.platform.rows)(LEASE_KEY.to_owned()).await;
                 let row = rows.map(|rows| rows.rows.into_iter().find(|row| row.key == LEASE_KEY));
@@ -103,6 +112,7 @@
         let Some(event) = event else { return };
         office.lease.borrow_mut().handle(event, clock::now());
         let held = office.lease.borrow().holder().map(|holder| holder.fence);
+        node.holds_duties.set(held.is_some());
         if held != fence {
             log::info!("duties: event=lease held={held:?} before={fence:?}");
             fence = held;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,14 +18,16 @@
 const ENDPOINT_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause between two reads of endpoints: their regular reports change the list all the time, and
 /// a leaving endpoint has to be known well within the drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
-/// Pause after a failed call.
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
+/// First and longest pause after a failed call; it doubles from one to the other.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Follows the declarations until the process ends.
 pub async fn declarations(node: Rc<Node>) {
     let mut after = None;
     let mut connected = true;
+    let mut pause = RETRY_PAUSE;
     let wait = DECLARATION_WAIT.min(node.settings.bounds.key_age() / WAITS_PER_KEY_AGE);
     loop {
         let sent = clock::now();
@@ -33,6 +35,7 @@
         match (node.platform.declarations)(follow).await {
             Ok(batch) => {
                 note_connection(&mut connected, true, "declarations", "");
+                pause = RETRY_PAUSE;
                 node.confirmed.set(Some(sent));
                 after = Some(batch.version);
                 for declaration in batch.changes {
@@ -44,7 +47,8 @@
                 if is_history_gone(&failure) {
                     after = None;
                 } else {
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
                 }
             }
         }
@@ -94,11 +98,13 @@
 pub async fn endpoints(node: Rc<Node>) {
     let mut after = None;
     let mut connected = true;
+    let mut pause = RETRY_PAUSE;
     loop {
         let follow = Follow { after, wait: ENDPOINT_WAIT };
         match (node.platform.endpoints)(follow).await {
             Ok(batch) => {
                 note_connection(&mut connected, true, "endpoints", "");
+                pause = RETRY_PAUSE;
                 after = Some(batch.version);
                 apply(&node, batch.changes, batch.complete);
                 node.listed.set(true);
@@ -111,7 +117,8 @@
                     continue;
                 }
                 node.roster.borrow_mut().record_trouble(clock::now());
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
             }
         }
     }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,6 +23,10 @@
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, metrics};
 
+/// Longest time after a start in which the node is not ready because it doesn't know yet what
+/// tenants have used of their quotas.
+const RECALL_TIME: Duration = Duration::from_millis(1_500);
+
 /// Waiting requests of one service, each with the signal that it may try again.
 #[derive(Debug, Default)]
 pub struct Waiting {
@@ -76,6 +80,8 @@
     /// Set when the process has got SIGTERM.
     pub stopping: Cell<bool>,
     pub stop: Notify,
+    /// Set while this node holds the lease of the duties.
+    pub holds_duties: Cell<bool>,
     /// Requests being served.
     pub active: Cell<usize>,
     /// Counts the changes in which endpoints were found to be leaving.
@@ -115,6 +121,7 @@
             epoch_ms: Cell::new(wall - clock::now().as_millis() as i64),
             stopping: Cell::default(),
             stop: Notify::new(),
+            holds_duties: Cell::default(),
             active: Cell::default(),
             departures: watch::Sender::new(0),
             settings,
@@ -142,8 +149,11 @@
 
     /// Tells whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
+        let now = clock::now();
         let known = self.catalog.borrow().is_some() && self.listed.get();
-        known && !self.stopping.get() && self.keys_are_fresh(clock::now())
+        let waits = now.saturating_sub(self.began) < RECALL_TIME;
+        let counts = !waits || !self.quotas.borrow().is_unsure();
+        known && counts && !self.stopping.get() && self.keys_are_fresh(now)
     }
 
     /// Gives true time since 1970 in milliseconds, whatever the steps of this VM's clock.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -50,6 +50,8 @@
     pub serial: u64,
     pub catalog_version: u64,
     pub true_ms: u64,
+    /// Set while the node holds the lease of the duties.
+    pub holds_duties: bool,
     /// Units of each tenant that the node has admitted since its start.
     pub admitted: Vec<(Arc<str>, u64)>,
     /// Units of each tenant that all nodes have admitted in the window of the quotas.
@@ -72,6 +74,7 @@
     heard: Option<Duration>,
     known: Duration,
     clock_ahead_ms: i64,
+    holds_duties: bool,
     loads: Vec<(Arc<str>, Load)>,
 }
 
@@ -101,6 +104,7 @@
             heard: None,
             known: now,
             clock_ahead_ms: 0,
+            holds_duties: false,
             loads: Vec::new(),
         });
         peer.address = address;
@@ -119,6 +123,7 @@
         (peer.start, peer.serial) = (beat.start, beat.serial);
         peer.heard = Some(now);
         peer.clock_ahead_ms = beat.true_ms as i64 - my_true_ms as i64;
+        peer.holds_duties = beat.holds_duties;
         peer.loads.clone_from(&beat.loads);
         true
     }
@@ -128,6 +133,11 @@
         1 + self.peers.values().filter(|peer| peer.is_heard(now)).count()
     }
 
+    /// Tells whether this node hears from another one that holds the lease of the duties.
+    pub fn hears_holder(&self, now: Duration) -> bool {
+        self.peers.values().any(|peer| peer.holds_duties && peer.is_heard(now))
+    }
+
     /// Gives the part of the quotas that this node and those it hears may use.
     pub fn share(&self, now: Duration) -> f64 {
         let living = |peer: &&Peer| {
@@ -208,6 +218,7 @@
         serial,
         catalog_version: node.catalog().map_or(0, |catalog| catalog.version),
         true_ms: node.true_ms(),
+        holds_duties: node.holds_duties.get(),
         admitted,
         window_sums,
         uptime_ms: now.saturating_sub(node.began).as_millis() as u64,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -23,8 +23,9 @@
 const FIRST_TOKEN_MS: f64 = 15.0;
 /// Penalty of another failure domain, for its latency and the price of its bytes.
 const REMOTE_MS: f64 = 12.0;
-/// Advantage of the preferred endpoint of a shared part beyond the tokens that it saves.
-const HOME_MS: f64 = 10.0;
+/// Part of the shared tokens that the first and the second home of a prompt are believed to keep,
+/// while this node has not sent them there itself.
+const HOME_SHARES: [f64; 2] = [0.9, 0.4];
 /// Time for which an engine is believed to keep a part that nobody asked for again.
 const CACHE_TIME: Duration = Duration::from_secs(20);
 /// Parts remembered for one endpoint.
@@ -124,23 +125,24 @@
         &self,
         job: Job<'_>,
         domain: &str,
-        candidates: impl Iterator<Item = Candidate<'a>>,
+        candidates: impl Iterator<Item = Candidate<'a>> + Clone,
         engine: Option<&catalog::Engine>,
         now: Duration,
     ) -> Option<Choice> {
         let idle = Site::default();
+        let homes = homes(job, candidates.clone());
         let mut best: Option<(f64, Choice)> = None;
         for candidate in candidates {
             let endpoint = candidate.endpoint;
             let site = self.sites.get(&endpoint.id).unwrap_or(&idle);
-            let load = job_load(job, site, now);
+            let home = homes.iter().position(|home| *home == Some(&*endpoint.id));
+            let load = job_load(job, site, home, now);
             if !has_room(site, load, endpoint, engine) {
                 continue;
             }
             let predicted = predict(site, load, endpoint, engine) * candidate.slowness;
             let remote = if *endpoint.domain == *domain { 0.0 } else { REMOTE_MS };
-            let affinity = preference(job, &endpoint.id) * HOME_MS;
-            let score = predicted + remote - affinity;
+            let score = predicted + remote;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let predicted = Duration::from_secs_f64(predicted / 1_000.0);
                 best = Some((score, Choice { endpoint: endpoint.id.clone(), load, predicted }));
@@ -211,17 +213,17 @@
     }
 }
 
-fn job_load(job: Job<'_>, site: &Site, now: Duration) -> Load {
+fn job_load(job: Job<'_>, site: &Site, home: Option<usize>, now: Duration) -> Load {
     let Some(prompt) = job.prompt else {
         return Load { requests: 1, ..Load::default() };
     };
     // A part is of use only if all parts before it are kept too.
-    let kept: u32 = prompt
-        .parts
-        .iter()
-        .take_while(|part| site.cache.holds(part.hash, now))
-        .map(|part| part.tokens)
-        .sum();
+    let held = prompt.parts.iter().take_while(|part| site.cache.holds(part.hash, now));
+    let held: u32 = held.map(|part| part.tokens).sum();
+    let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
+    let shared: u32 = shared.iter().map(|part| part.tokens).sum();
+    let believed = home.map_or(0.0, |rank| f64::from(shared) * HOME_SHARES[rank]) as u32;
+    let kept = held.max(believed);
     Load {
         requests: 1,
         unread_tokens: prompt.prompt_tokens.saturating_sub(kept),
@@ -256,17 +258,30 @@
     FIRST_TOKEN_MS + unread / READ_TOKENS_PER_MS + RUNNING_MS * running
 }
 
-/// Gives how much an endpoint is preferred for the shared parts of a prompt, from 0 to 1.
+/// Gives the first and the second home of the shared parts of a prompt.
 ///
-/// All nodes compute the same value, so they agree on the home of a part without a message.
-fn preference(job: Job<'_>, endpoint: &str) -> f64 {
-    let shared = job.prompt.and_then(|prompt| {
+/// All nodes compute the same homes by rendezvous hashing, so they agree without a message, and when
+/// an endpoint goes only its own parts find new homes.
+fn homes<'a>(
+    job: Job<'_>,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> [Option<&'a str>; 2] {
+    let part = job.prompt.and_then(|prompt| {
         let count = prompt.parts.len();
         prompt.parts.get(count.checked_sub(2)?)
     });
-    let seed = shared.map_or(job.hash, |part| part.hash);
-    let hash = xxh3::xxh3_64_with_seed(endpoint.as_bytes(), seed);
-    let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-    // Only the first of the ranking gets close to 1, whatever the number of endpoints.
-    uniform.powi(16)
+    let Some(part) = part else { return [None; 2] };
+    let mut first: Option<(u64, &str)> = None;
+    let mut second: Option<(u64, &str)> = None;
+    for candidate in candidates {
+        let id: &str = &candidate.endpoint.id;
+        let entry = Some((xxh3::xxh3_64_with_seed(id.as_bytes(), part.hash), id));
+        if entry > first {
+            second = first;
+            first = entry;
+        } else if entry > second {
+            second = entry;
+        }
+    }
+    [first, second].map(|home| home.map(|(_, id)| id))
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -15,6 +15,8 @@
 
 /// Time by which the window is longer than the users', for what the peers have not told yet.
 const TELL_TIME: Duration = Duration::from_millis(250);
+/// Longest advice while this node doesn't know what was admitted before its start.
+const UNSURE_ADVICE: Duration = Duration::from_millis(300);
 /// Steps in which what was admitted before a start leaves the window.
 const STEPS: u32 = 16;
 
@@ -197,7 +199,9 @@
         let fits = ledger.sum as f64 + units as f64 <= limit;
         // A request that is larger than the whole window runs alone.
         if !fits && ledger.sum > 0 {
-            return Err(ledger.room_after(units as f64, limit, window, now));
+            let after = ledger.room_after(units as f64, limit, window, now);
+            // Soon a peer or the store tells what really was admitted.
+            return Err(if self.is_unsure { after.min(UNSURE_ADVICE) } else { after });
         }
         ledger.add(units, now);
         ledger.own += units;
