--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,14 +14,15 @@
 /// Parts of the age that keys may reach for which the store may hold a call: an answer confirms the
 /// keys as of the time before the call was sent, so they are two such parts old when it is late.
 const WAITS_PER_KEY_AGE: u32 = 4;
-/// Time for which the store may hold a call on endpoints.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which the store may hold a call on endpoints. It is short, so that a call that is lost
+/// is repeated well within the drain bound.
+const ENDPOINT_WAIT: Duration = Duration::from_millis(300);
 /// Pause between two reads of endpoints: their regular reports change the list all the time, and
 /// a leaving endpoint has to be known well within the drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(600);
 /// First and longest pause after a failed call; it doubles from one to the other.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(600);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Follows the declarations until the process ends.
 pub async fn declarations(node: Rc<Node>) {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -113,6 +113,9 @@
     })?;
     let id = demand.id.clone();
     let elsewhere = Some(queue::spread(ELSEWHERE, hash(&id)));
+    if node.closing.get() {
+        return Err(((Cause::Stopping, elsewhere), id, none));
+    }
     let Some(catalog) = node.catalog() else {
         return Err(((Cause::NoCatalog, elsewhere), id, none));
     };
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -79,6 +79,8 @@
     pub epoch_ms: Cell<i64>,
     /// Set when the process has got SIGTERM.
     pub stopping: Cell<bool>,
+    /// Set when a stopping process takes no more requests.
+    pub closing: Cell<bool>,
     pub stop: Notify,
     /// Set while this node holds the lease of the duties.
     pub holds_duties: Cell<bool>,
@@ -120,6 +122,7 @@
             metrics: metrics::Registry::new(),
             epoch_ms: Cell::new(wall - clock::now().as_millis() as i64),
             stopping: Cell::default(),
+            closing: Cell::default(),
             stop: Notify::new(),
             holds_duties: Cell::default(),
             active: Cell::default(),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     OverQuota,
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// The process is about to end.
+    Stopping,
     /// The request would not get its turn in time.
     Busy,
     /// The endpoint refused the request or wasn't reached; it was not run.
@@ -45,6 +47,7 @@
             Cause::StaleKeys => "stale_keys",
             Cause::OverQuota => "over_quota",
             Cause::NoEndpoint => "no_endpoint",
+            Cause::Stopping => "stopping",
             Cause::Busy => "busy",
             Cause::NotRun => "not_run",
             Cause::Unknown => "unknown",
@@ -62,6 +65,7 @@
             Cause::UnknownKey => StatusCode::UNAUTHORIZED,
             Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Cause::NoCatalog
+            | Cause::Stopping
             | Cause::StaleKeys
             | Cause::NoEndpoint
             | Cause::Busy
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -18,6 +18,10 @@
 const PERIOD: Duration = Duration::from_millis(50);
 
 /// Waits for SIGTERM, then until the requests in flight have ended or the grace period is over.
+///
+/// Once the load balancer must have noticed, new requests are refused: a stream that is taken late
+/// would be cut at the end of the grace period, and the sooner the process ends the sooner a new one
+/// serves.
 pub async fn wait(node: Rc<Node>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -31,6 +35,7 @@
     node.stopping.set(true);
     log::info!("stop: event=stopping active={}", node.active.get());
     tokio::time::sleep(LEAVE_TIME).await;
+    node.closing.set(true);
     node.stop.notify_waiters();
     let end = began + node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     while node.active.get() > 0 && clock::now() < end {
