--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -19,9 +19,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 /// Time without failures after which the pause starts small again.
 const FORGIVE: Duration = Duration::from_secs(10);
-/// Time for which an entry that is missing after an outage of the store is still believed; living
-/// endpoints register again within about two seconds.
-const GRACE: Duration = Duration::from_millis(1_500);
+/// Time after an outage of the store in which living endpoints register again; until then an entry
+/// that has vanished is still believed.
+const RETURN_TIME: Duration = Duration::from_secs(2);
 
 /// Holds what the node has seen of an endpoint itself.
 #[derive(Debug, Default, Clone)]
@@ -80,20 +80,20 @@
     pub health: Health,
     /// Time at which the endpoint will be gone, once it is known to leave.
     pub leaves_at: Option<Duration>,
-    /// Time at which the entry vanished while the store was in trouble.
-    missing_since: Option<Duration>,
+    /// Time until which an entry is believed that vanished after an outage of the store.
+    missing_until: Option<Duration>,
 }
 
 impl Entry {
     /// Tells whether the endpoint may get new requests.
     pub fn is_usable(&self, now: Duration) -> bool {
-        let believed = self.missing_since.is_none_or(|since| now < since + GRACE);
+        let believed = self.missing_until.is_none_or(|until| now < until);
         !self.endpoint.draining && believed && !self.health.is_paused(now)
     }
 
     /// Tells whether the endpoint is listed and not leaving, whatever its health.
     pub fn is_listed(&self) -> bool {
-        !self.endpoint.draining && self.missing_since.is_none()
+        !self.endpoint.draining && self.missing_until.is_none()
     }
 }
 
@@ -123,7 +123,7 @@
                     endpoint: endpoint.clone(),
                     health: Health::default(),
                     leaves_at: None,
-                    missing_since: None,
+                    missing_until: None,
                 });
                 if entry.endpoint.born_ms != endpoint.born_ms {
                     entry.health = Health::default();
@@ -133,15 +133,17 @@
                     let left = endpoint.leaves_in.unwrap_or(drain);
                     entry.leaves_at.get_or_insert(now + left);
                 }
-                entry.missing_since = None;
+                entry.missing_until = None;
                 entry.endpoint = endpoint;
                 leaves
             }
             Change::Gone(id) => {
-                let trouble = self.last_trouble;
-                let recent = trouble.is_some_and(|at| now.saturating_sub(at) < 2 * GRACE);
-                if recent && let Some(entry) = self.entries.get_mut(&id) {
-                    entry.missing_since.get_or_insert(now);
+                let until = self.last_trouble.map(|trouble| trouble + RETURN_TIME);
+                let until = until.filter(|until| now < *until);
+                if let Some(until) = until
+                    && let Some(entry) = self.entries.get_mut(&id)
+                {
+                    entry.missing_until = Some(until);
                 } else if let Some(entry) = self.entries.remove(&id) {
                     let leaves_at = entry.leaves_at.unwrap_or(now + drain);
                     self.departed.insert(id.clone(), leaves_at);
@@ -181,7 +183,7 @@
     /// Drops entries that did not come back after an outage of the store, and what is long gone.
     pub fn expire(&mut self, now: Duration) {
         self.departed.retain(|_, leaves_at| now < *leaves_at + FORGIVE);
-        self.entries.retain(|_, entry| entry.missing_since.is_none_or(|since| now < since + GRACE));
+        self.entries.retain(|_, entry| entry.missing_until.is_none_or(|until| now < until));
     }
 
     pub fn get(&self, id: &str) -> Option<&Entry> {
--- a/tests/roster_health.rs
+++ b/tests/roster_health.rs
@@ -52,8 +52,8 @@
     roster.record_trouble(at(5_000));
     roster.apply(Change::Gone("e".into()), DRAIN, at(6_000));
     assert_eq!(usable(&roster, 6_000), ["e".into()]);
-    assert!(usable(&roster, 8_000).is_empty(), "it did not come back");
-    roster.expire(at(8_000));
+    assert!(usable(&roster, 7_000).is_empty(), "it did not come back within 2 s of the outage");
+    roster.expire(at(7_000));
     assert_eq!(roster.iter().count(), 0);
 
     roster.apply(endpoint("f", false, 1), DRAIN, at(20_000));
@@ -121,3 +121,14 @@
     roster.apply(endpoint("g", true, 1), DRAIN, at(1_200));
     assert_eq!(roster.leaves_at("g", 1), Some(at(2_700)), "the first report counts");
 }
+
+/// Guards against work for an endpoint that left some time after an outage: its entry vanished for
+/// good, and only those two seconds after the outage may leave a doubt.
+#[test]
+fn later_departures_are_believed() {
+    let mut roster = Roster::default();
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
+    roster.record_trouble(at(5_000));
+    roster.apply(Change::Gone("e".into()), DRAIN, at(7_500));
+    assert!(usable(&roster, 7_500).is_empty());
+}
