Count evidence of versions in a roll-out, and drop what nobody used

Cause, found when reading: nothing recorded the answers of a version, so a good one was never taken in and a bad one never taken back. Answers, failures and late first events count now.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -47,23 +47,32 @@
 }
 
 impl Placed {
-    /// Records that the prompt was read.
-    pub fn first_event(&mut self) {
+    /// Records that the prompt was read; `target` is the time within which the route wants that.
+    pub fn first_event(&mut self, target: Duration) {
         self.node.board.borrow_mut().first_event(&self.endpoint.id, &mut self.load);
         let took = clock::now().saturating_sub(self.began);
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_pace(took, self.predicted);
             health.record_success();
         }
+        self.record_evidence(took <= target);
+    }
+
+    /// Counts an answer for the version of the endpoint, in case it is being rolled out.
+    fn record_evidence(&self, is_good: bool) {
+        let Endpoint { service, version, .. } = &self.endpoint;
+        self.node.shifts.borrow_mut().record(service, version, is_good);
     }
 
     pub fn record_success(&self) {
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_success();
         }
+        self.record_evidence(true);
     }
 
     pub fn record_failure(&self) {
+        self.record_evidence(false);
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_failure(clock::now());
         }
@@ -420,7 +429,7 @@
         return Attempt::Unknown(format!("an answer of status {status} without a seal"));
     }
     if ask.route.kind == Kind::Stream && response.status().is_success() {
-        return open(response, lent, placed).await;
+        return open(response, lent, placed, ask.route.target_latency).await;
     }
     whole(node, ask, response, lent, placed).await
 }
@@ -472,7 +481,12 @@
 }
 
 /// Waits for the first event: until then another endpoint may still be tried.
-async fn open(response: Response<Incoming>, mut lent: Lent, mut placed: Placed) -> Attempt {
+async fn open(
+    response: Response<Incoming>,
+    mut lent: Lent,
+    mut placed: Placed,
+    target: Duration,
+) -> Attempt {
     let (head, mut body) = response.into_parts();
     let mut splitter = Splitter::default();
     let response = Response::from_parts(head, ());
@@ -495,7 +509,7 @@
             }
         };
         if let Some(first) = first {
-            placed.first_event();
+            placed.first_event(target);
             let open = Open { response, body, lent, splitter, first, ended: false, placed };
             return Attempt::Stream(Box::new(open));
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -17,7 +17,6 @@
     outcomes: Option<IntCounterVec>,
     latencies: Option<HistogramVec>,
     repeats: Option<IntCounterVec>,
-    store_calls: Option<IntCounterVec>,
     gauges: Option<IntGaugeVec>,
 }
 
@@ -39,11 +38,6 @@
             "Requests for a second endpoint by service and whether the budget allowed it.",
             &["service", "granted"],
         );
-        let store_calls = counter(
-            "pomelolink_store_calls_total",
-            "Calls to the platform by call and outcome.",
-            &["call", "outcome"],
-        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time from a request's arrival to its answer or first event.",
@@ -56,7 +50,7 @@
             &["name"],
         );
         let gauges = gauges.ok().filter(|it| registry.register(Box::new(it.clone())).is_ok());
-        Registry { registry, outcomes, latencies, repeats, store_calls, gauges }
+        Registry { registry, outcomes, latencies, repeats, gauges }
     }
 
     pub fn record_outcome(&self, route: &str, outcome: &str) {
@@ -77,12 +71,6 @@
         }
     }
 
-    pub fn record_store_call(&self, call: &str, outcome: &str) {
-        if let Some(calls) = &self.store_calls {
-            calls.with_label_values(&[call, outcome]).inc();
-        }
-    }
-
     /// Gives all figures as text, with the state of the node at this moment.
     pub fn text(&self, node: &Rc<Node>) -> String {
         let now = clock::now();
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -225,6 +225,10 @@
     moved: Moved,
 ) -> Option<Open> {
     let Moved { placed, state } = moved;
+    if !state.is_copied {
+        // Only the endpoint that leaves has the state.
+        return resume(node, ask, history, stopped).await;
+    }
     let last_event = stopped.splitter.last_id.clone();
     let endpoint = placed.endpoint.id.clone();
     history.tried.push(endpoint.clone());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -80,35 +79,27 @@
 
 /// Answers readiness probes until the process ends.
 pub async fn readiness(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let status = match node.is_ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                let mut response = Response::new(Full::<Bytes>::default().boxed());
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("serve: event=probe_ended error=\"{error}\"");
-            }
-        });
-    }
+    answer_all(node, listener, |node| {
+        let mut response = Response::new(Body::whole(Bytes::new()));
+        if !node.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    })
+    .await;
 }
 
 /// Shows the node's figures until the process ends.
 pub async fn metrics(node: Rc<Node>, listener: TcpListener) {
+    answer_all(node, listener, |node| Response::new(Body::whole(node.metrics.text(node)))).await;
+}
+
+/// Gives every request the same answer, made anew for each.
+async fn answer_all(
+    node: Rc<Node>,
+    listener: TcpListener,
+    answer: fn(&Rc<Node>) -> Response<Body>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -117,15 +108,15 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |_: Request<Incoming>| {
-                let text = node.metrics.text(&node);
-                async move { Ok::<_, Infallible>(Response::new(Body::whole(text))) }
+                let response = answer(&node);
+                async move { Ok::<_, Infallible>(response) }
             });
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
-                log::debug!("serve: event=metrics_ended error=\"{error}\"");
+                log::debug!("serve: event=probe_ended error=\"{error}\"");
             }
         });
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -61,11 +61,6 @@
     pub quota_window: Duration,
     /// Length of the windows of usage reports.
     pub report_window: Duration,
-    /// Time after the end of a window by which its report is due.
-    pub usage_delay: Duration,
-    /// Part of a service's requests that a bad version may get.
-    pub exposure_fraction: f64,
-    pub rollback: Duration,
 }
 
 impl Bounds {
@@ -154,9 +149,6 @@
         retry_slack: 0.0,
         quota_window: none,
         report_window: none,
-        usage_delay: none,
-        exposure_fraction: 0.0,
-        rollback: none,
     }
 }
 
@@ -200,9 +192,6 @@
         retry_slack: reader.number("retry_slack", 0.0..=1e9, None),
         quota_window: seconds(reader, "quota_window_s"),
         report_window: seconds(reader, "report_window_s"),
-        usage_delay: seconds(reader, "usage_delay_s"),
-        exposure_fraction: reader.number("exposure_fraction", 0.0..=1.0, None),
-        rollback: millis(reader, "rollback_ms"),
     }
 }
 
