Deliver a worker's failure when there is no second one to ask, and bound events

Cause, found when reading: a lookup that failed at the only worker was answered 503, which says that it did not run; now a second endpoint is taken first and the first answer is kept.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -158,10 +158,16 @@
         node.demand.borrow_mut().record(&ask.service, prompt.prompt_tokens);
     }
     let mut history = History::default();
+    let mut next = None;
+    // Answer of an endpoint that failed; it is delivered if there is no better one.
+    let mut failed: Option<Response<Body>> = None;
     loop {
-        let placed = match place(&node, &ask, &history.tried).await {
-            Ok(placed) => placed,
-            Err(refusal) => return give_up(&node, &ask, &history, refusal),
+        let placed = match next.take() {
+            Some(placed) => placed,
+            None => match place(&node, &ask, &history.tried).await {
+                Ok(placed) => placed,
+                Err(refusal) => return give_up(&node, &ask, &history, failed, refusal),
+            },
         };
         let endpoint = placed.endpoint.id.clone();
         history.tried.push(endpoint.clone());
@@ -169,8 +175,14 @@
         let attempt = attempt(&node, &ask, placed, Resume::default()).await;
         let refusal = match attempt {
             Attempt::Answer(response) => {
-                let repeat = response.status().is_server_error() && ask.route.is_repeatable();
-                if repeat && may_repeat(&node, &ask, &mut history, &endpoint, "endpoint_error") {
+                if response.status().is_server_error()
+                    && ask.route.is_repeatable()
+                    && let Some(other) = place_now(&node, &ask, &history.tried)
+                    && may_repeat(&node, &ask, &mut history, &endpoint, "endpoint_error")
+                {
+                    next = Some(other);
+                    failed = Some(response);
+                    history.may_have_run = true;
                     continue;
                 }
                 let status = response.status().as_u16();
@@ -209,12 +221,23 @@
                 (Cause::Timeout, None)
             }
         };
-        return give_up(&node, &ask, &history, refusal);
+        return give_up(&node, &ask, &history, failed, refusal);
     }
 }
 
-/// Answers for good; the answer says "not run" only if that is proved.
-fn give_up(node: &Node, ask: &Ask, history: &History, refusal: Refusal) -> Response<Body> {
+/// Answers for good, with the answer of an endpoint where there is one; a refusal says "not run"
+/// only if that is proved.
+fn give_up(
+    node: &Node,
+    ask: &Ask,
+    history: &History,
+    failed: Option<Response<Body>>,
+    refusal: Refusal,
+) -> Response<Body> {
+    if let Some(response) = failed {
+        node.metrics.record_outcome(&ask.route.name, "endpoint_error");
+        return response;
+    }
     let (cause, after) = match refusal {
         (Cause::Timeout | Cause::Unknown, _) => refusal,
         _ if history.may_have_run => (Cause::Unknown, None),
@@ -508,6 +531,10 @@
                 return Attempt::Unknown(format!("the stream broke off: {error}"));
             }
         };
+        if splitter.is_too_long() {
+            placed.record_failure();
+            return Attempt::Unknown("the first event is too long".to_owned());
+        }
         if let Some(first) = first {
             placed.first_event(target);
             let open = Open { response, body, lent, splitter, first, ended: false, placed };
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -154,7 +154,11 @@
         match frame {
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                let Some(whole) = open.splitter.push(data) else { continue };
+                let whole = open.splitter.push(data);
+                if open.splitter.is_too_long() {
+                    return End::Broken("an event is too long".to_owned());
+                }
+                let Some(whole) = whole else { continue };
                 if events.send(Ok(whole)).await.is_err() {
                     return End::CallerGone;
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,6 +10,9 @@
 /// Events that wait for a slow caller before its endpoint has to wait.
 const EVENTS_AHEAD: usize = 64;
 
+/// Largest event; a stream without ends of events must not fill the memory.
+const EVENT_BYTES: usize = 1 << 20;
+
 /// Tells that a stream was broken off; its caller must not take it for complete.
 #[derive(Debug)]
 pub struct Broken;
@@ -103,6 +106,11 @@
         self.pending.is_empty()
     }
 
+    /// Tells whether an event has grown larger than any proper one.
+    pub fn is_too_long(&self) -> bool {
+        self.pending.len() > EVENT_BYTES
+    }
+
     fn note(&mut self, events: &[u8]) {
         self.events += memchr::memmem::find_iter(events, b"\n\n").count() as u32;
         let line = memchr::memmem::rfind(events, b"\nid:").map(|at| at + 1);
--- a/tests/stream_events.rs
+++ b/tests/stream_events.rs
@@ -16,6 +16,18 @@
     assert!(!splitter.is_whole(), "the third event is torn");
 }
 
+/// Guards against a stream without ends of events that fills the memory of the node.
+#[test]
+fn endless_events_are_noticed() {
+    let mut splitter = Splitter::default();
+    for _ in 0..1_024 {
+        assert_eq!(splitter.push(Bytes::from(vec![b'x'; 1_024])), None);
+        assert!(!splitter.is_too_long());
+    }
+    splitter.push(Bytes::from_static(b"x"));
+    assert!(splitter.is_too_long());
+}
+
 /// Guards against a resume at the wrong event: the identifier may stand on any line of an event.
 #[test]
 fn identifiers_are_found() {
