Begin a streamed answer only once a peer holds its prompt

Cause of killed_entry_loses_no_stream: the copy of an accepted stream was sent beside the answer and nothing waited for it, so an entry VM that was killed between the first token and the copy took the stream with it. Shown by the new test begun_streams_have_a_copy, which freezes the peer that should hold the copy: 2 of 2 runs failed with 410 before. Excluded: copies that die with their holder (third_entry_goes_on passes, keep_copies replaces them). An answer now waits for its copy, at most 500 ms, while the endpoint works on the first token; a silent peer is given up after 200 ms instead of 700 ms.

--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -21,6 +21,8 @@
 const LAST_EVENT_ID: &str = "last-event-id";
 /// Time in which an answer still reaches its caller before the process ends.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Longest time for which an answer that could begin waits for its copy: two silent peers.
+const COPY_PATIENCE: Duration = Duration::from_millis(500);
 /// Length of an answer for which the caller set no limit, as admission expects it.
 const EXPECTED_TOKENS: u32 = 256;
 
@@ -53,7 +55,22 @@
         return draft::accept(node, permit, request).await;
     }
     let accepted = accept(node, permit, request)?;
-    if head.stream { answer_stream(accepted, 0).await } else { answer_whole(node, accepted).await }
+    if !head.stream {
+        return answer_whole(node, accepted).await;
+    }
+    wait_for_copy(node, &accepted).await;
+    answer_stream(accepted, 0).await
+}
+
+/// Waits until a peer holds the prompt: a caller that has seen the beginning of an answer has an id
+/// to resume with, which means nothing if this VM dies as the only one that knows it.
+async fn wait_for_copy(node: &Node, entry: &stream::Entry) {
+    if drain::holders(node, &entry.request.id).is_empty() {
+        return;
+    }
+    if tokio::time::timeout(COPY_PATIENCE, entry.held()).await.is_err() {
+        log::warn!("stream: {} begins without a copy at a peer", entry.request.id);
+    }
 }
 
 /// Reads the fields that the relay needs and checks that the rest is valid JSON.
@@ -108,7 +125,7 @@
         Error::new(Kind::Overloaded, "too many streams are open on this entry VM")
     })?;
     entry.start_carrying();
-    // Not awaited, so that the copy adds nothing to the time to the first token.
+    // Placed while the endpoint works on the first token, so that it adds nothing to that time.
     let (copying, copied) = (node.clone(), entry.clone());
     tokio::spawn(async move { drain::copy(&copying, &copied).await });
     let (node, carried) = (node.clone(), entry.clone());
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -20,6 +20,9 @@
 /// see that it is unready before it refuses them.
 const UNREADY_TIME: Duration = Duration::from_millis(500);
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for one peer to take a copy: an answer begins only once a copy is held, so a silent peer is
+/// given up sooner than in a hand-over.
+const COPY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Peers tried for one stream.
 const PEERS_TRIED: usize = 4;
 /// Attempts to place a copy, over about six seconds: a node that has just started knows no peers
@@ -142,7 +145,7 @@
             return;
         }
         let snapshot = stream::remote::snapshot(entry);
-        let sent = send(node, entry, Request::Copy(snapshot)).await;
+        let sent = send(node, entry, Request::Copy(snapshot), COPY_TIMEOUT).await;
         let result = if sent.is_some() { "held" } else { "refused" };
         node.metrics.copies.with_label_values(&[result]).inc();
         if sent.is_some() {
@@ -189,7 +192,9 @@
     let id = &entry.request.id;
     let subject = Subject { request: Some(id.clone()), ..Subject::default() };
     loop {
-        if let Some(peer) = send(node, entry, Request::HandOver(snapshot.clone())).await {
+        if let Some(peer) =
+            send(node, entry, Request::HandOver(snapshot.clone()), REQUEST_TIMEOUT).await
+        {
             node.metrics.handed_over.inc();
             let text = format!("stream handed over to {peer} at offset {}", entry.offset());
             node.record("drain", subject, text);
@@ -205,10 +210,10 @@
 }
 
 /// Sends to the first peer that takes the stream and gives its name.
-async fn send(node: &Node, entry: &Entry, request: Request) -> Option<Arc<str>> {
+async fn send(node: &Node, entry: &Entry, request: Request, timeout: Duration) -> Option<Arc<str>> {
     let network = node.network.get()?;
     for member in holders(node, &entry.request.id).into_iter().take(PEERS_TRIED) {
-        match network.request(member.address, request.clone(), REQUEST_TIMEOUT).await {
+        match network.request(member.address, request.clone(), timeout).await {
             Ok(Reply::Done) => return Some(member.node),
             Ok(_) => log::debug!("drain: {} refused stream {}", member.node, entry.request.id),
             Err(error) => log::debug!("drain: {} did not answer: {error}", member.node),
--- a/src/stream/journal.rs
+++ b/src/stream/journal.rs
@@ -277,6 +277,15 @@
     /// Notes which peer holds a copy; `None` when there is none any more.
     pub fn set_holder(&self, peer: Option<Arc<str>>) {
         self.lock().holder = peer;
+        self.wake();
+    }
+
+    /// Waits until a peer holds a copy or the stream has ended here.
+    pub async fn held(&self) {
+        let mut changes = self.changes.subscribe();
+        while self.holder().is_none() && self.finish().is_none() && self.is_carried() {
+            let _ = changes.changed().await;
+        }
     }
 
     pub fn holder(&self) -> Option<Arc<str>> {
--- a/tests/stream_stop.rs
+++ b/tests/stream_stop.rs
@@ -100,6 +100,29 @@
     Ok(())
 }
 
+/// Guards against a caller that has an answer's beginning while no peer holds the prompt yet: the
+/// peer that should hold it is frozen when the entry VM is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn begun_streams_have_a_copy() -> Result {
+    let dir = tempfile::tempdir()?;
+    let mut fleet = callers::start(&dir, 3, 3, &ENGINE, 20_000).await?;
+    fleet.joined().await?;
+    let balancer = callers::Balancer::new(&fleet);
+    fleet.entries[1].process.freeze();
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..16 {
+        let prompt = format!("question {number} about a wok");
+        streams.spawn(callers::stream(balancer.clone(), 0, prompt, 100));
+    }
+    pause(150).await;
+    fleet.entries[0].process.kill();
+    fleet.entries[1].process.resume();
+    while let Some(seen) = streams.join_next().await {
+        seen??;
+    }
+    Ok(())
+}
+
 /// Guards against a stream whose caller meets three entry VMs in turn: one that accepts it, one
 /// that dies while the caller resumes there, and a third one.
 #[tokio::test(flavor = "multi_thread")]
