--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -125,3 +125,23 @@
     assert_eq!(unknown.status, 404);
     Ok(())
 }
+
+/// Guards against a caller that learns only after the read timeout that its body is too large.
+#[tokio::test(flavor = "multi_thread")]
+async fn declared_length_is_refused_at_once() -> Result {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let dir = tempfile::tempdir()?;
+    let fleet = common::start(&dir, 1, 1, &[]).await?;
+    let bearer = common::bearer();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: {bearer}\r\n\
+         content-length: 1000000000\r\n\r\n"
+    );
+    let mut connection = tokio::net::TcpStream::connect(fleet.entries[0].callers).await?;
+    connection.write_all(head.as_bytes()).await?;
+    let mut start = [0; 12];
+    let answer = connection.read_exact(&mut start);
+    tokio::time::timeout(std::time::Duration::from_secs(1), answer).await??;
+    assert_eq!(String::from_utf8_lossy(&start), "HTTP/1.1 413");
+    Ok(())
+}
