--- a/src/bin/pomelolink/status.rs
+++ b/src/bin/pomelolink/status.rs
@@ -52,6 +52,34 @@
     }
 }
 
+/// Columns of the members with the fields that they come from.
+const MEMBER_COLUMNS: [(&str, &str); 5] = [
+    ("MEMBER", "node"),
+    ("STATUS", "status"),
+    ("FAILURE DOMAIN", "failure_domain"),
+    ("REGION", "region"),
+    ("ADDRESS", "address"),
+];
+
+fn show_members(report: &Value) -> Result<(), Error> {
+    let mut members = util::items(report, "members").peekable();
+    if members.peek().is_none() {
+        return Ok(());
+    }
+    let mut rows = vec![MEMBER_COLUMNS.map(|(title, _)| title)];
+    rows.extend(members.map(|member| MEMBER_COLUMNS.map(|(_, field)| util::text(member, field))));
+    for row in &rows {
+        let mut line = String::from(" ");
+        for (column, cell) in row.iter().enumerate() {
+            let width = rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0);
+            line.push(' ');
+            line.push_str(&format!("{cell:width$}"));
+        }
+        util::print(line.trim_end())?;
+    }
+    Ok(())
+}
+
 fn show(report: &Value) -> Result<(), Error> {
     let ready = match report["reason"].as_str() {
         None => "ready".to_owned(),
@@ -63,9 +91,7 @@
         util::text(report, "failure_domain"),
         report["revision"]
     ))?;
-    for item in util::items(report, "members") {
-        util::print(&format!("  members: {item}"))?;
-    }
+    show_members(report)?;
     for lease in util::items(report, "leases") {
         // Only the holder knows the time left; the others see that the row changes.
         let left = match lease["left_ms"].as_u64() {
--- a/tests/tool_daemon.rs
+++ b/tests/tool_daemon.rs
@@ -63,3 +63,21 @@
     let status = done(&fleet, &[0, 1], &["status"]).await;
     assert_eq!(status.matches(", ready").count(), 2, "{status}");
 }
+
+/// Guards against members that are printed as raw JSON, or in columns that do not line up.
+#[tokio::test]
+async fn members_are_a_table() {
+    let dir = tempfile::tempdir().unwrap();
+    let fleet = common::start(&dir, 3, 1, &[]).await.unwrap();
+    fleet.joined().await.unwrap();
+    let status = done(&fleet, &[0], &["status"]).await;
+    let lines: Vec<&str> = status.lines().collect();
+    let title = lines.iter().position(|line| line.trim_start().starts_with("MEMBER")).unwrap();
+    let column = lines[title].find("FAILURE DOMAIN").unwrap();
+    for entry in &fleet.entries {
+        let rows = &mut lines[title..].iter();
+        let row = rows.find(|line| line.trim_start().starts_with(&entry.name)).unwrap();
+        assert!(row[column..].starts_with(&entry.failure_domain), "{status}");
+    }
+    assert!(!status.contains('{'), "{status}");
+}
