--- a/src/bin/pomelolink/main.rs
+++ b/src/bin/pomelolink/main.rs
@@ -7,6 +7,7 @@
 mod describe;
 mod diff;
 mod error;
+mod explain;
 mod get;
 mod r#move;
 mod replay;
@@ -57,6 +58,7 @@
     Timeline(timeline::Arguments),
     Replay(replay::Arguments),
     Status(status::Arguments),
+    Explain(explain::Arguments),
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -80,6 +82,7 @@
         Command::Timeline(arguments) => timeline::run(&config, arguments).await,
         Command::Replay(arguments) => replay::run(&config, arguments),
         Command::Status(arguments) => status::run(&config, arguments).await,
+        Command::Explain(arguments) => explain::run(&config, arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -101,6 +101,7 @@
     let mut connected = true;
     let mut pause = RETRY_PAUSE;
     loop {
+        let sent = clock::now();
         let follow = Follow { after, wait: ENDPOINT_WAIT };
         match (node.platform.endpoints)(follow).await {
             Ok(batch) => {
@@ -108,7 +109,7 @@
                 pause = RETRY_PAUSE;
                 after = Some(batch.version);
                 apply(&node, batch.changes, batch.complete);
-                node.listed.set(true);
+                node.listed.set(Some(sent));
                 tokio::time::sleep(ENDPOINT_PAUSE).await;
             }
             Err(failure) => {
@@ -135,8 +136,12 @@
         roster.replace(changes, drain, now);
     } else {
         for change in changes {
-            if let Change::Seen(endpoint) = &change {
-                note_change(&roster, endpoint, node);
+            match &change {
+                Change::Seen(endpoint) => note_change(&roster, endpoint, node),
+                Change::Gone(id) if roster.get(id).is_some() => {
+                    log::info!("follow: event=endpoint_gone endpoint={id}");
+                }
+                Change::Gone(_) => {}
             }
             if let Some(id) = roster.apply(change, drain, now) {
                 departs = true;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,6 +26,7 @@
 use crate::gateway::queue;
 use crate::gateway::refusal::Cause;
 use crate::gateway::relay::{Body, Splitter};
+use crate::gateway::roster;
 
 /// Largest answer of a plain service that is held in memory.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -53,8 +54,8 @@
         let took = clock::now().saturating_sub(self.began);
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_pace(took, self.predicted);
-            health.record_success();
         }
+        self.note_success();
         self.record_evidence(took <= target);
     }
 
@@ -65,16 +66,29 @@
     }
 
     pub fn record_success(&self) {
-        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
-            health.record_success();
-        }
+        self.note_success();
         self.record_evidence(true);
     }
 
+    fn note_success(&self) {
+        let mut roster = self.node.roster.borrow_mut();
+        let id = &self.endpoint.id;
+        if roster.health(id).is_some_and(|health| health.record_success()) {
+            log::info!("forward: event=endpoint_regained endpoint={id}");
+        }
+    }
+
     pub fn record_failure(&self) {
         self.record_evidence(false);
-        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
-            health.record_failure(clock::now());
+        let mut roster = self.node.roster.borrow_mut();
+        let id = &self.endpoint.id;
+        let paused = roster.health(id).and_then(|health| health.record_failure(clock::now()));
+        if let Some(roster::Pause { length, failures, share }) = paused {
+            log::info!(
+                "forward: event=endpoint_paused endpoint={id} pause_ms={} failures={failures} \
+                 failure_share={share:.2}",
+                length.as_millis()
+            );
         }
     }
 }
@@ -185,11 +199,7 @@
                     history.may_have_run = true;
                     continue;
                 }
-                let status = response.status().as_u16();
-                let class = if status < 400 { "answered" } else { "endpoint_error" };
-                node.metrics.record_outcome(&ask.route.name, class);
-                node.metrics.record_latency(&ask.route.name, clock::now() - ask.arrived);
-                return response;
+                return answer(&node, &ask, &history, &endpoint, response);
             }
             Attempt::Stream(open) => return pump::start(node, ask, history, *open, active),
             Attempt::Unsent(reason) => {
@@ -225,6 +235,32 @@
     }
 }
 
+/// Counts and logs the whole answer of an endpoint.
+fn answer(
+    node: &Node,
+    ask: &Ask,
+    history: &History,
+    endpoint: &str,
+    response: Response<Body>,
+) -> Response<Body> {
+    let took = clock::now().saturating_sub(ask.arrived);
+    let status = response.status().as_u16();
+    // A service's failure is its answer, but its caller wants to know where it comes from.
+    let event = if status < 400 { "answered" } else { "endpoint_error" };
+    log::info!(
+        "forward: event={event} id={} route={} endpoint={endpoint} status={status} sent={} \
+         total_ms={} target_ms={}",
+        ask.demand.id,
+        ask.route.name,
+        history.sent,
+        took.as_millis(),
+        ask.route.target_latency.as_millis()
+    );
+    node.metrics.record_outcome(&ask.route.name, event);
+    node.metrics.record_latency(&ask.route.name, took);
+    response
+}
+
 /// Answers for good, with the answer of an endpoint where there is one; a refusal says "not run"
 /// only if that is proved.
 fn give_up(
@@ -235,8 +271,8 @@
     refusal: Refusal,
 ) -> Response<Body> {
     if let Some(response) = failed {
-        node.metrics.record_outcome(&ask.route.name, "endpoint_error");
-        return response;
+        let endpoint = history.tried.last().map_or("-", |endpoint| endpoint);
+        return answer(node, ask, history, endpoint, response);
     }
     let (cause, after) = match refusal {
         (Cause::Timeout | Cause::Unknown, _) => refusal,
@@ -290,7 +326,21 @@
         let now = clock::now();
         let is_next = is_next(node, ask, turn.as_ref());
         match is_next.then(|| choose(node, ask, tried, now)) {
-            Some(Chosen::Endpoint(placed)) => return Ok(placed),
+            Some(Chosen::Endpoint(placed)) => {
+                log::info!(
+                    "forward: event=placed id={} route={} endpoint={} domain={} waited_ms={} \
+                     predicted_ms={} running={} {}",
+                    ask.demand.id,
+                    ask.route.name,
+                    placed.endpoint.id,
+                    placed.endpoint.domain,
+                    now.saturating_sub(ask.arrived).as_millis(),
+                    placed.predicted.as_millis(),
+                    node.board.borrow().total(&placed.endpoint.id).requests,
+                    node.beliefs(now)
+                );
+                return Ok(placed);
+            }
             Some(Chosen::NoEndpoint) => {
                 return Err((Cause::NoEndpoint, Some(queue::spread(NO_ENDPOINT_ADVICE, ask.hash))));
             }
@@ -298,8 +348,26 @@
         }
         let advice = |after| (Cause::Busy, Some(queue::spread(after, ask.hash)));
         match &turn {
-            None => turn = Some(join(node, ask, latest, now).map_err(advice)?),
+            None => {
+                turn = Some(join(node, ask, latest, now).map_err(|after| {
+                    log::info!(
+                        "forward: event=queue_full id={} service={} time_left_ms={} advice_ms={}",
+                        ask.demand.id,
+                        ask.service,
+                        latest.saturating_sub(now).as_millis(),
+                        after.as_millis()
+                    );
+                    advice(after)
+                })?);
+            }
             Some(turn) if is_hopeless(node, turn, now) => {
+                log::info!(
+                    "forward: event=queue_late id={} service={} waited_ms={} time_left_ms={}",
+                    ask.demand.id,
+                    ask.service,
+                    now.saturating_sub(ask.arrived).as_millis(),
+                    latest.saturating_sub(now).as_millis()
+                );
                 let waiting = node.waiting.borrow();
                 let after = waiting.get(&ask.service).map(|it| it.queue.retry_after());
                 return Err(advice(after.unwrap_or(REFUSED_ADVICE)));
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -71,8 +71,10 @@
     let status = cause.status().as_u16();
     log::info!(
         "handle: event=refused id={id} route={route} cause={} status={status} held_ms={held} \
-         retry_after={after:?}",
-        cause.name()
+         retry_after_ms={} {}",
+        cause.name(),
+        after.map_or(-1, |after| after.as_millis() as i64),
+        node.beliefs(clock::now())
     );
     node.metrics.record_outcome(route, cause.name());
     cause.response(after)
@@ -181,8 +183,16 @@
         u64::from(prompt.prompt_tokens) + u64::from(prompt.max_output_tokens)
     });
     let units = if quota.counts_tokens { tokens } else { 1 };
-    let taken = node.quotas.borrow_mut().take(&tenant.name, units, clock::now());
-    taken.map_err(|after| (Cause::OverQuota, Some(queue::spread(after, hash))))
+    let mut quotas = node.quotas.borrow_mut();
+    quotas.take(&tenant.name, units, clock::now()).map_err(|after| {
+        let (admitted, limit) = quotas.fill(&tenant.name);
+        log::info!(
+            "handle: event=quota_full id={} tenant={} units={units} admitted={admitted} limit={limit}",
+            demand.id,
+            tenant.name
+        );
+        (Cause::OverQuota, Some(queue::spread(after, hash)))
+    })
 }
 
 async fn read_body(body: Incoming, limit: usize, until: Duration) -> Result<Bytes, Refusal> {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +51,31 @@
     }
 }
 
+/// Versions and ages of what a node knows.
+#[derive(Debug)]
+pub struct Beliefs {
+    catalog: Option<u64>,
+    catalog_age: Option<Duration>,
+    endpoints_age: Option<Duration>,
+    /// Nodes that are heard, with this one.
+    nodes: usize,
+}
+
+impl fmt::Display for Beliefs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // What is not known has the age -1.
+        let ms = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
+        write!(
+            f,
+            "catalog={} catalog_age_ms={} endpoints_age_ms={} nodes={}",
+            self.catalog.map_or(-1, |version| version as i64),
+            ms(self.catalog_age),
+            ms(self.endpoints_age),
+            self.nodes
+        )
+    }
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub settings: Settings,
@@ -63,8 +89,8 @@
     /// Time before the last successful read of the declarations was sent.
     pub confirmed: Cell<Option<Duration>>,
     pub roster: RefCell<Roster>,
-    /// Set once the list of endpoints was read.
-    pub listed: Cell<bool>,
+    /// Time before the last successful read of the list of endpoints was sent.
+    pub listed: Cell<Option<Duration>>,
     pub board: RefCell<Board>,
     pub quotas: RefCell<Quotas>,
     pub budget: RefCell<Budget>,
@@ -153,12 +179,22 @@
     /// Tells whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         let now = clock::now();
-        let known = self.catalog.borrow().is_some() && self.listed.get();
+        let known = self.catalog.borrow().is_some() && self.listed.get().is_some();
         let waits = now.saturating_sub(self.began) < RECALL_TIME;
         let counts = !waits || !self.quotas.borrow().is_unsure();
         known && counts && !self.stopping.get() && self.keys_are_fresh(now)
     }
 
+    /// Gives what the node's decisions rest on, for the lines that tell them.
+    pub fn beliefs(&self, now: Duration) -> Beliefs {
+        Beliefs {
+            catalog: self.catalog.borrow().as_ref().map(|catalog| catalog.version),
+            catalog_age: self.key_age(now),
+            endpoints_age: self.listed.get().map(|listed| now.saturating_sub(listed)),
+            nodes: self.peers.borrow().count(now),
+        }
+    }
+
     /// Gives true time since 1970 in milliseconds, whatever the steps of this VM's clock.
     pub fn true_ms(&self) -> u64 {
         (clock::now().as_millis() as i64 + self.epoch_ms.get()).unsigned_abs()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -76,6 +76,8 @@
     clock_ahead_ms: i64,
     holds_duties: bool,
     loads: Vec<(Arc<str>, Load)>,
+    /// Set while the node counts the peer as heard, as its log says.
+    told_heard: bool,
 }
 
 /// Holds what a node knows about the others.
@@ -106,6 +108,7 @@
             clock_ahead_ms: 0,
             holds_duties: false,
             loads: Vec::new(),
+            told_heard: false,
         });
         peer.address = address;
     }
@@ -161,6 +164,28 @@
         (median.abs() > CLOCK_TOLERANCE_MS).then_some(median)
     }
 
+    /// Gives the peers that were lost or regained since the last call, with the age of what is known
+    /// of each.
+    fn changes(&mut self, now: Duration) -> Vec<(Arc<str>, bool, Duration)> {
+        let mut changes = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let is_heard = peer.is_heard(now);
+            if is_heard != peer.told_heard {
+                peer.told_heard = is_heard;
+                let age = now.saturating_sub(peer.heard.unwrap_or(peer.known));
+                changes.push((name.clone(), is_heard, age));
+            }
+        }
+        changes
+    }
+
+    /// Gives the age of what is known of each peer.
+    pub fn ages(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, Duration)> {
+        self.peers
+            .iter()
+            .map(move |(name, peer)| (name, now.saturating_sub(peer.heard.unwrap_or(peer.known))))
+    }
+
     fn addresses(&self, now: Duration) -> Vec<SocketAddr> {
         let known = |peer: &&Peer| now.saturating_sub(peer.heard.unwrap_or(peer.known)) < FORGET;
         self.peers.values().filter(known).map(|peer| peer.address).collect()
@@ -232,6 +257,10 @@
 fn send(node: &Rc<Node>, socket: &UdpSocket) {
     let now = clock::now();
     let beat = compose(node, now);
+    for (peer, is_heard, age) in node.peers.borrow_mut().changes(now) {
+        let event = if is_heard { "peer_regained" } else { "peer_lost" };
+        log::info!("peers: event={event} peer={peer} age_ms={}", age.as_millis());
+    }
     let peers = node.peers.borrow();
     match postcard::to_stdvec(&beat) {
         Ok(bytes) => {
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -48,9 +48,20 @@
     let (mut head, ()) = open.response.clone().into_parts();
     (node.dialect.relay)(&mut head.headers);
     let (events, body) = Body::stream();
+    let first_ms = clock::now().saturating_sub(ask.arrived).as_millis();
     tokio::task::spawn_local(async move {
         let ask = Rc::new(ask);
         let outcome = pump(&node, &ask, history, open, events).await;
+        // Events of a broken stream have their own lines, with the reason.
+        let event = if outcome == "answered" { outcome } else { "failed" };
+        log::info!(
+            "pump: event={event} id={} route={} outcome={outcome} first_ms={first_ms} total_ms={} \
+             target_ms={}",
+            ask.demand.id,
+            ask.route.name,
+            clock::now().saturating_sub(ask.arrived).as_millis(),
+            ask.route.target_latency.as_millis()
+        );
         node.metrics.record_outcome(&ask.route.name, outcome);
         drop(active);
     });
@@ -105,6 +116,11 @@
     );
 }
 
+/// Logs why a broken stream does not go on.
+fn note_cut(ask: &Ask, endpoint: &str, reason: &str) {
+    log::info!("pump: event=cut id={} endpoint={endpoint} reason=\"{reason}\"", ask.demand.id);
+}
+
 /// Sets a timer to the move of a stream whose endpoint leaves.
 fn arm(node: &Node, open: &Open, timer: &mut Pin<Box<Sleep>>) {
     let now = clock::now();
@@ -260,16 +276,27 @@
     history: &mut History,
     broken: &Open,
 ) -> Option<Open> {
+    let mut endpoint = broken.placed.endpoint.id.clone();
     if !ask.route.resumable {
+        note_cut(ask, &endpoint, "the route's streams can't be resumed");
         return None;
     }
-    let last = broken.splitter.last_id.clone()?;
-    let mut endpoint = broken.placed.endpoint.id.clone();
+    let Some(last) = broken.splitter.last_id.clone() else {
+        note_cut(ask, &endpoint, "the events bear no ids");
+        return None;
+    };
     loop {
         if !forward::may_repeat(node, ask, history, &endpoint, "stream_broken") {
+            note_cut(ask, &endpoint, "no attempt, time or budget is left");
             return None;
         }
-        let placed = forward::place(node, ask, &history.tried).await.ok()?;
+        let placed = match forward::place(node, ask, &history.tried).await {
+            Ok(placed) => placed,
+            Err((cause, _)) => {
+                note_cut(ask, &endpoint, cause.name());
+                return None;
+            }
+        };
         endpoint = placed.endpoint.id.clone();
         history.tried.push(endpoint.clone());
         history.sent += 1;
@@ -279,7 +306,10 @@
                 open.splitter.last_id.get_or_insert(last);
                 return Some(*open);
             }
-            Attempt::TimedOut => return None,
+            Attempt::TimedOut => {
+                note_cut(ask, &endpoint, "the time was up");
+                return None;
+            }
             other => log::info!(
                 "pump: event=resume_failed id={} endpoint={endpoint} attempt={other:?}",
                 ask.demand.id
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -208,6 +208,12 @@
         Ok(())
     }
 
+    /// Gives the units of a tenant in the window and how many this node and its peers may admit.
+    pub fn fill(&self, tenant: &str) -> (u64, u64) {
+        let Some(ledger) = self.ledgers.get(tenant) else { return (0, 0) };
+        (ledger.sum, (ledger.limit(self.window) * self.share) as u64)
+    }
+
     /// Takes the units that a peer has admitted since it started.
     pub fn hear(&mut self, peer: &Arc<str>, start: u64, tenant: &str, total: u64, now: Duration) {
         let window = self.window;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -35,6 +35,62 @@
 }
 
 impl Cause {
+    const ALL: [Cause; 15] = [
+        Cause::NoCatalog,
+        Cause::NoRoute,
+        Cause::BadRequest,
+        Cause::BodyTooLarge,
+        Cause::BodyTooSlow,
+        Cause::BodyCut,
+        Cause::UnknownKey,
+        Cause::StaleKeys,
+        Cause::OverQuota,
+        Cause::NoEndpoint,
+        Cause::Stopping,
+        Cause::Busy,
+        Cause::NotRun,
+        Cause::Unknown,
+        Cause::Timeout,
+    ];
+
+    /// Finds a cause by the name that logs and metrics give it.
+    pub fn find(name: &str) -> Option<Cause> {
+        Cause::ALL.into_iter().find(|cause| cause.name() == name)
+    }
+
+    /// Says in a sentence what led to the answer.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Cause::NoCatalog => "the node had read no declarations yet",
+            Cause::NoRoute => "no route takes this host and path",
+            Cause::BadRequest => "its headers could not be read",
+            Cause::BodyTooLarge => "its body is larger than the declared limit",
+            Cause::BodyTooSlow => "its body did not arrive in time",
+            Cause::BodyCut => "the caller's connection ended within the body",
+            Cause::UnknownKey => "its key belongs to no tenant",
+            Cause::StaleKeys => {
+                "the node had not reached the store for too long to vouch for the keys; \
+                 see catalog_age_ms and store_lost"
+            }
+            Cause::OverQuota => {
+                "its tenant had used its quota in the window; see admitted and limit of quota_full, \
+                 and nodes: silent peers keep their part"
+            }
+            Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
+            Cause::Stopping => "the node was about to end",
+            Cause::Busy => {
+                "it would not have got its turn within the target of its route; see queue_full or \
+                 queue_late"
+            }
+            Cause::NotRun => "no endpoint took it; see unsent and endpoint_refused",
+            Cause::Unknown => {
+                "it was sent to an endpoint that gave no whole answer, so it may have run; see \
+                 unknown"
+            }
+            Cause::Timeout => "its time was up while an endpoint worked on it; see placed",
+        }
+    }
+
     pub fn name(self) -> &'static str {
         match self {
             Cause::NoCatalog => "no_catalog",
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -23,6 +23,16 @@
 /// that has vanished is still believed.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a failing endpoint gets nothing, with what led to it.
+#[derive(Debug, PartialEq)]
+pub struct Pause {
+    pub length: Duration,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Running share of failures.
+    pub share: f64,
+}
+
 /// Holds what the node has seen of an endpoint itself.
 #[derive(Debug, Default, Clone)]
 pub struct Health {
@@ -30,19 +40,24 @@
     share: f64,
     pause: Duration,
     paused_until: Duration,
+    /// Set from a pause to the next good answer.
+    was_paused: bool,
     last_failure: Duration,
     /// Observed time to the first event against the predicted one; 1 until something was seen.
     slowness: f64,
 }
 
 impl Health {
-    pub fn record_success(&mut self) {
+    /// Counts a good answer; tells whether it is the first one after a pause.
+    pub fn record_success(&mut self) -> bool {
         self.failures = 0;
         self.share *= 1.0 - SHARE_WEIGHT;
+        std::mem::take(&mut self.was_paused)
     }
 
-    /// Counts a failure of the endpoint itself: refused connections, resets, broken answers.
-    pub fn record_failure(&mut self, now: Duration) {
+    /// Counts a failure of the endpoint itself: refused connections, resets, broken answers. Gives
+    /// the pause that begins with it.
+    pub fn record_failure(&mut self, now: Duration) -> Option<Pause> {
         self.failures += 1;
         self.share += (1.0 - self.share) * SHARE_WEIGHT;
         if now.saturating_sub(self.last_failure) > FORGIVE {
@@ -52,9 +67,13 @@
         if self.failures >= FAILURES || self.share > FAILURE_SHARE {
             self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
             self.paused_until = now + self.pause;
+            self.was_paused = true;
+            let pause = Pause { length: self.pause, failures: self.failures, share: self.share };
             self.failures = FAILURES - 1;
             self.share *= 0.7;
+            return Some(pause);
         }
+        None
     }
 
     /// Records how long the first event took against the prediction.
--- /dev/null
+++ b/tests/request_explain.rs
@@ -0,0 +1,79 @@
+//! Guards against a story of a request that is incomplete, out of order or stops at a bad line.
+
+use std::process::Command;
+
+use pomelolink::explain::{self, Log};
+
+const FIRST: &str = "\
+[2026-12-04T11:00:00.000Z INFO  pomelolink::gateway] gateway: event=start node=n1 start=1
+[2026-12-04T11:00:09.000Z INFO  x] forward: event=endpoint_paused endpoint=m1 pause_ms=500
+[2026-12-04T11:00:09.100Z INFO  x] forward: event=endpoint_paused endpoint=m2 pause_ms=500
+[2026-12-04T11:00:10.000Z INFO  x] forward: event=placed id=r1 route=chat endpoint=m1 waited_ms=4
+[2026-12-04T11:00:10.100Z INFO  x] forward: event=placed id=r10 route=chat endpoint=m2 waited_ms=4
+[2026-12-04T11:00:10.200Z INFO  x] forward: event=unknown id=r1 endpoint=m1 reason=\"it said \u{fffd}\"
+torn li";
+
+/// A node whose clock is an hour ahead until it learns the true time.
+const SECOND: &str = "\
+[2026-12-04T12:00:10.300Z INFO  pomelolink::gateway] gateway: event=start node=n2 start=1
+[2026-12-04T12:00:10.400Z INFO  x] handle: event=refused id=r1 route=chat cause=stale_keys status=503
+[2026-12-04T12:00:10.500Z WARN  x] peers: event=clock_corrected by_ms=-3600000
+";
+
+#[test]
+fn stories_span_processes_and_clocks() {
+    let logs = [Log::read("b.log", SECOND.as_bytes()), Log::read("a.log", FIRST.as_bytes())];
+    let story = explain::tell("r1", &logs).expect("lines about the request");
+    let steps: Vec<(&str, &str)> = story
+        .steps
+        .iter()
+        .map(|step| (&*step.process, step.line.text.split_whitespace().nth(1).unwrap()))
+        .collect();
+    let expected = [
+        ("n1", "event=endpoint_paused"),
+        ("n1", "event=placed"),
+        ("n1", "event=unknown"),
+        ("n2", "event=start"),
+        ("n2", "event=refused"),
+        ("n2", "event=clock_corrected"),
+    ];
+    assert_eq!(steps, expected);
+    assert!(story.steps[0].is_context && !story.steps[1].is_context);
+    assert_eq!(story.notes, ["n1: 1 lines can't be read"]);
+    assert!(explain::tell("r", &logs).is_none(), "an id is not found by its beginning");
+}
+
+/// Guards against a request of a killed process that seems to go on.
+#[test]
+fn missing_ends_are_said() {
+    let story = explain::tell("r10", &[Log::read("a.log", FIRST.as_bytes())]).unwrap();
+    assert!(story.outcome.starts_with("no end is logged"), "{}", story.outcome);
+    assert!(story.outcome.contains("2026-12-04T11:00:10.2"), "{}", story.outcome);
+}
+
+#[test]
+fn fields_are_whole_words() {
+    let text = "forward: event=x id=r1 valid=no reason=\"two words\" last=";
+    assert_eq!(explain::field(text, "id"), Some("r1"));
+    assert_eq!(explain::field(text, "reason"), Some("two words"));
+    assert_eq!(explain::field(text, "words"), None);
+    assert_eq!(explain::field(text, "last"), None);
+}
+
+#[test]
+fn command_prints_the_story() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("a.log"), FIRST).unwrap();
+    let run = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pomelolink"));
+        command.current_dir(folder.path()).args(words).output().unwrap()
+    };
+    let output = run(&["explain", "r1", "a.log"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{text}");
+    assert!(text.contains("+0.200 s  n1  * forward: event=unknown id=r1"), "{text}");
+    assert!(text.contains("-1.000 s  n1    forward: event=endpoint_paused"), "{text}");
+    assert_eq!(run(&["explain", "unknown", "a.log"]).status.code(), Some(1));
+    assert_eq!(run(&["explain", "r1", "missing.log"]).status.code(), Some(1));
+    assert_eq!(run(&["explain", "r1"]).status.code(), Some(2));
+}
--- a/tests/roster_health.rs
+++ b/tests/roster_health.rs
@@ -88,7 +88,11 @@
     for step in 0..700_u64 {
         let health = roster.health("e").expect("listed");
         assert!(!health.is_paused(at(step * 50)), "paused at step {step}");
-        if step % 7 == 0 { health.record_failure(at(step * 50)) } else { health.record_success() }
+        if step % 7 == 0 {
+            health.record_failure(at(step * 50));
+        } else {
+            health.record_success();
+        }
     }
 }
 
