--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -441,6 +441,10 @@
         // Endpoints that seem to fail are still better than none.
         entries = roster.of(&ask.service).filter(fits).filter(|entry| entry.is_listed()).collect();
     }
+    if entries.is_empty() && version.is_some_and(|version| version.may_cross()) {
+        let others = roster.of(&ask.service).filter(|entry| !tried.contains(&entry.endpoint.id));
+        entries = others.filter(|entry| entry.is_listed()).collect();
+    }
     if entries.is_empty() {
         return Chosen::NoEndpoint;
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -275,7 +275,7 @@
         usage,
         loads,
         demand,
-        tallies: node.shifts.borrow().told(),
+        tallies: node.shifts.borrow().told(now),
     }
 }
 
@@ -351,7 +351,7 @@
     for (service, total) in &beat.demand {
         node.demand.borrow_mut().hear(&beat.node, beat.start, service, *total);
     }
-    node.shifts.borrow_mut().hear(&beat.node, beat.start, beat.tallies);
+    node.shifts.borrow_mut().hear(&beat.node, beat.start, beat.tallies, now);
 }
 
 /// Enters this node into the list in the store, and reads the others from it.
--- a/src/gateway/recall.rs
+++ b/src/gateway/recall.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
+use crate::gateway::shift;
 use crate::gateway::usage::Source;
 use crate::platform::{Outcome, Transaction};
 
@@ -32,6 +33,9 @@
     /// Units of each tenant in the window of the quotas, over all nodes.
     window_sums: Vec<(Arc<str>, u64)>,
     usage: Vec<(Source, u64, BTreeMap<Arc<str>, u64>)>,
+    /// Roll-outs with the time for which they have run.
+    #[serde(default)]
+    shifts: Vec<shift::Told>,
 }
 
 /// Writes the row; one value lives as long as this node holds the duties.
@@ -53,6 +57,7 @@
             true_ms: node.true_ms(),
             window_sums: node.quotas.borrow_mut().sums(clock::now()),
             usage: node.usage.borrow().all(&node.source(), WINDOWS),
+            shifts: node.shifts.borrow().times(clock::now()),
         };
         let value = match serde_json::to_value(&recent) {
             Ok(value) => value,
@@ -75,7 +80,8 @@
     if node.settings.first_start {
         return;
     }
-    while node.quotas.borrow().is_unsure() {
+    let mut remembered = false;
+    while node.quotas.borrow().is_unsure() || !remembered {
         let rows = (node.platform.rows)(KEY.to_owned()).await;
         let Ok(rows) = rows else {
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -87,6 +93,10 @@
             log::warn!("recall: event=no_row note=\"quotas count as used up\"");
             return;
         };
+        if !remembered {
+            remember_shifts(&node, recent.shifts.clone(), recent.true_ms);
+            remembered = true;
+        }
         if take(&node, &recent) {
             return;
         }
@@ -94,6 +104,11 @@
     }
 }
 
+fn remember_shifts(node: &Node, shifts: Vec<shift::Told>, true_ms: u64) {
+    let age = Duration::from_millis(node.true_ms().saturating_sub(true_ms));
+    node.shifts.borrow_mut().remember(shifts, age, clock::now());
+}
+
 /// Takes the counts, once the tenants are known.
 fn take(node: &Rc<Node>, recent: &Recent) -> bool {
     for (source, window, counts) in &recent.usage {
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
+use crate::rollout::verdict;
 
 /// Share of the canary; the bound on a bad version's exposure is a tenth.
 const CANARY: f64 = 0.04;
@@ -22,12 +23,15 @@
 /// reported as done. What runs on the old version ends in between, since it is stopped then.
 const FULL_AT: f64 = 0.86;
 const COMPLETE_AT: f64 = 0.95;
-/// Bad answers after which a version is taken back whatever its good ones.
-const BAD_LIMIT: u64 = 15;
-/// Answers before the share of bad ones tells anything.
+/// Answers that the old version is believed to give before any are known.
+const PRIOR: Tally = Tally { good: 19, bad: 1 };
+/// Good answers without which a version is not taken in.
 const EVIDENCE: u64 = 8;
-/// Share of bad answers, beyond that of the old version, which shows a bad version.
-const BAD_SHARE: f64 = 0.15;
+/// Share of bad answers, beyond that of the old version, which is tolerated.
+const BAD_SHARE: f64 = 0.05;
+/// The same once all requests go to the new version: its endpoints have cold caches then, and there
+/// are no answers of the old version at the same time to compare with.
+const FULL_BAD_SHARE: f64 = 0.15;
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -41,8 +45,9 @@
         self.bad += other.bad;
     }
 
-    fn bad_share(self) -> f64 {
-        self.bad as f64 / (self.good + self.bad).max(1) as f64
+    fn bad_of_all(self) -> (u32, u32) {
+        let count = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+        (count(self.bad), count(self.good + self.bad))
     }
 }
 
@@ -55,6 +60,8 @@
     old: Tally,
     reverted: bool,
     completed: bool,
+    /// Time since the roll-out was ordered.
+    elapsed_ms: u64,
 }
 
 #[derive(Debug)]
@@ -63,6 +70,8 @@
     within: Duration,
     revision: u64,
     began: Duration,
+    /// Time for which the roll-out had run when this node read the order.
+    lead: Duration,
     new: Tally,
     old: Tally,
     peers: HashMap<(Arc<str>, u64), (Tally, Tally)>,
@@ -87,12 +96,22 @@
         if self.phase != Phase::InProgress {
             return;
         }
-        let (new, old) = self.evidence();
-        let excess = new.bad_share() - old.bad_share();
-        let enough = new.good + new.bad >= EVIDENCE;
-        if enough && excess > BAD_SHARE || new.bad >= BAD_LIMIT && excess > BAD_SHARE / 3.0 {
-            log::warn!("shift: event=reverted version={} new={new:?} old={old:?}", self.version);
-            self.settle(Phase::Reverted);
+        let (new, mut old) = self.evidence();
+        old.add(PRIOR);
+        let slack = if self.share < 1.0 { BAD_SHARE } else { FULL_BAD_SHARE };
+        let strength = verdict::excess(new.bad_of_all(), old.bad_of_all(), slack);
+        if strength >= verdict::MARK_STRENGTH {
+            log::warn!(
+                "shift: event=reverted version={} new_bad={} new_good={} old_bad={} old_good={} \
+                 share={} strength={strength:.1}",
+                self.version,
+                new.bad,
+                new.good,
+                old.bad,
+                old.good,
+                self.share
+            );
+            self.phase = Phase::Reverted;
         }
     }
 
@@ -114,13 +133,31 @@
     }
 
     fn part(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.began).as_secs_f64();
-        elapsed / self.within.as_secs_f64().max(0.001)
+        self.elapsed(now).as_secs_f64() / self.within.as_secs_f64().max(0.001)
+    }
+
+    fn take_phase(&mut self, told: &Told) {
+        if told.reverted {
+            self.settle(Phase::Reverted);
+        } else if told.completed {
+            self.settle(Phase::Completed);
+        }
     }
 
-    /// Ends the roll-out; a version that was taken back stays so.
+    fn elapsed(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.began) + self.lead
+    }
+
+    /// Takes the time from a node that read the order earlier.
+    fn take_time(&mut self, told: &Told, now: Duration) {
+        let elapsed = Duration::from_millis(told.elapsed_ms);
+        self.lead += elapsed.saturating_sub(self.elapsed(now));
+    }
+
+    /// Takes what another node found or has recorded. A version that was taken back stays so, unless
+    /// it is recorded as done: at that the platform stops the endpoints of the old version.
     fn settle(&mut self, phase: Phase) {
-        if self.phase != Phase::Reverted {
+        if self.phase == Phase::InProgress || phase == Phase::Completed {
             self.phase = phase;
         }
     }
@@ -131,17 +168,27 @@
 pub struct Side {
     version: Arc<str>,
     wants_new: bool,
+    may_cross: bool,
 }
 
 impl Side {
     pub fn admits(&self, version: &str) -> bool {
         (*self.version == *version) == self.wants_new
     }
+
+    /// Tells whether an endpoint of the other side may serve where this one has none listed: the new
+    /// ones are still starting, or the old ones have been stopped. A version that was taken back
+    /// serves nothing.
+    pub fn may_cross(&self) -> bool {
+        self.may_cross
+    }
 }
 
 #[derive(Debug, Default)]
 pub struct Shifts {
     shifts: HashMap<Arc<str>, Shift>,
+    /// What the store knew of roll-outs before their orders were read, with the time of that.
+    remembered: HashMap<Arc<str>, (Told, Duration)>,
 }
 
 impl Shifts {
@@ -157,17 +204,25 @@
         if self.shifts.get(&service).is_some_and(|shift| shift.revision >= revision) {
             return;
         }
-        let shift = Shift {
+        let mut shift = Shift {
             version,
             within,
             revision,
             began: now,
+            lead: Duration::ZERO,
             new: Tally::default(),
             old: Tally::default(),
             peers: HashMap::new(),
             phase: Phase::InProgress,
             share: CANARY,
         };
+        if let Some((told, then)) = self.remembered.remove(&service)
+            && told.revision == revision
+        {
+            shift.take_time(&told, then);
+            shift.lead += now.saturating_sub(then);
+            shift.take_phase(&told);
+        }
         self.shifts.insert(service, shift);
     }
 
@@ -183,7 +238,8 @@
                 (slot as f64 / u64::MAX as f64) < shift.share
             }
         };
-        Some(Side { version, wants_new })
+        let may_cross = shift.phase != Phase::Reverted;
+        Some(Side { version, wants_new, may_cross })
     }
 
     /// Records how an endpoint of a version answered; a late answer counts as bad.
@@ -226,7 +282,8 @@
         self.shifts.iter().map(entry).collect()
     }
 
-    pub fn told(&self) -> Vec<Told> {
+    /// Gives what peers, and nodes that start later, have to know.
+    pub fn told(&self, now: Duration) -> Vec<Told> {
         let tell = |(service, shift): (&Arc<str>, &Shift)| Told {
             service: service.clone(),
             revision: shift.revision,
@@ -234,22 +291,46 @@
             old: shift.old,
             reverted: shift.phase == Phase::Reverted,
             completed: shift.phase == Phase::Completed,
+            elapsed_ms: shift.elapsed(now).as_millis() as u64,
         };
         self.shifts.iter().map(tell).collect()
     }
 
-    pub fn hear(&mut self, peer: &Arc<str>, start: u64, told: Vec<Told>) {
+    /// Gives times and phases without evidence, for a start after all nodes were lost.
+    pub fn times(&self, now: Duration) -> Vec<Told> {
+        let mut told = self.told(now);
+        for told in &mut told {
+            (told.new, told.old) = (Tally::default(), Tally::default());
+        }
+        told
+    }
+
+    /// Takes what `times` gave `age` ago, for roll-outs whose orders this node has read or will read.
+    pub fn remember(&mut self, times: Vec<Told>, age: Duration, now: Duration) {
+        for mut told in times {
+            told.elapsed_ms += age.as_millis() as u64;
+            match self.shifts.get_mut(&told.service) {
+                Some(shift) if shift.revision == told.revision => {
+                    shift.take_time(&told, now);
+                    shift.take_phase(&told);
+                }
+                _ => {
+                    self.remembered.insert(told.service.clone(), (told, now));
+                }
+            }
+        }
+    }
+
+    /// Takes what a peer told at `now`.
+    pub fn hear(&mut self, peer: &Arc<str>, start: u64, told: Vec<Told>, now: Duration) {
         for told in told {
             let Some(shift) = self.shifts.get_mut(&told.service) else { continue };
             if shift.revision != told.revision {
                 continue;
             }
+            shift.take_time(&told, now);
             shift.peers.insert((peer.clone(), start), (told.new, told.old));
-            if told.reverted {
-                shift.settle(Phase::Reverted);
-            } else if told.completed {
-                shift.settle(Phase::Completed);
-            }
+            shift.take_phase(&told);
             shift.judge();
         }
     }
