--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -12,7 +12,6 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
-use crate::rollout::verdict;
 
 /// Share of the canary; the bound on a bad version's exposure is a tenth.
 const CANARY: f64 = 0.04;
@@ -23,6 +22,13 @@
 /// reported as done. What runs on the old version ends in between, since it is stopped then.
 const FULL_AT: f64 = 0.86;
 const COMPLETE_AT: f64 = 0.95;
+/// Standard deviations from which a difference is no chance, although it is looked at with each
+/// answer: more of them as long as there are few answers, since those come in coarse steps. A service
+/// that fails one request in seven by itself, and three in ten on its bad version, shows it after
+/// about a hundred answers.
+const DEVIATIONS: f64 = 3.3;
+const DEVIATIONS_OF_FEW: f64 = 4.5;
+const FEW_ANSWERS: f64 = 60.0;
 /// Answers that the old version is believed to give before any are known.
 const PRIOR: Tally = Tally { good: 19, bad: 1 };
 /// Good answers without which a version is not taken in.
@@ -45,9 +51,20 @@
         self.bad += other.bad;
     }
 
-    fn bad_of_all(self) -> (u32, u32) {
-        let count = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
-        (count(self.bad), count(self.good + self.bad))
+    fn answers(self) -> f64 {
+        (self.good + self.bad) as f64
+    }
+
+    /// Gives by how much the share of bad answers exceeds another one's, and how many standard
+    /// deviations of a difference by chance that is.
+    fn excess(self, other: Tally) -> (f64, f64) {
+        let share = |tally: Tally| tally.bad as f64 / tally.answers().max(1.0);
+        let mut both = self;
+        both.add(other);
+        let spread = 1.0 / self.answers().max(1.0) + 1.0 / other.answers().max(1.0);
+        let deviation = (share(both) * (1.0 - share(both)) * spread).sqrt();
+        let excess = share(self) - share(other);
+        (excess, excess / deviation.max(1e-9))
     }
 }
 
@@ -99,11 +116,13 @@
         let (new, mut old) = self.evidence();
         old.add(PRIOR);
         let slack = if self.share < 1.0 { BAD_SHARE } else { FULL_BAD_SHARE };
-        let strength = verdict::excess(new.bad_of_all(), old.bad_of_all(), slack);
-        if strength >= verdict::MARK_STRENGTH {
+        let (excess, deviations) = new.excess(old);
+        let are_few = new.answers() < FEW_ANSWERS;
+        let least = if are_few { DEVIATIONS_OF_FEW } else { DEVIATIONS };
+        if excess > slack && deviations > least {
             log::warn!(
                 "shift: event=reverted version={} new_bad={} new_good={} old_bad={} old_good={} \
-                 share={} strength={strength:.1}",
+                 share={} deviations={deviations:.1}",
                 self.version,
                 new.bad,
                 new.good,
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -7,7 +7,7 @@
 mod evidence;
 mod mark;
 mod observer;
-pub mod verdict;
+mod verdict;
 
 pub use controller::{CANARY_PERMILLE, Controller, Decision, STEPS_PERMILLE, Step};
 pub use evidence::{Evidence, OVERFLOW_ROUTE, ROUTES, Report, Sample, Side, Stratum, Tally};
--- a/src/rollout/verdict.rs
+++ b/src/rollout/verdict.rs
@@ -15,7 +15,7 @@
 /// Failing or late responses below which a node does not mark a version (target of the design).
 const MARK_RESPONSES: u32 = 20;
 /// Strength from which a difference counts as proven; about 1 in 30,000 by chance per look.
-pub const MARK_STRENGTH: f64 = 8.0;
+const MARK_STRENGTH: f64 = 8.0;
 /// Strength taken off differences in the recent windows: there are many of them during a move, and
 /// each is another chance for a good version to look bad.
 const RECENT_CHANCE: f64 = 2.0;
@@ -237,7 +237,7 @@
 ///
 /// The unknown old rate is chosen in favour of the new version, so few responses of the old
 /// version give little strength.
-pub fn excess(new: (u32, u32), old: (u32, u32), slack: f64) -> f64 {
+fn excess(new: (u32, u32), old: (u32, u32), slack: f64) -> f64 {
     let rate = |(bad, all): (u32, u32)| f64::from(bad) / f64::from(all.max(1));
     let (new_rate, old_rate) = (rate(new), rate(old));
     let tolerated = |old_rate: f64| old_rate + (old_rate * RATE_FACTOR).min(RATE_EXCESS) + slack;
