Leave the endpoints of a roll-out to the platform

While a roll-out lasts, and until the endpoints of the side that lost are gone, only losses of the serving version are made up for now, on top of the other version's number. Test rollouts_are_left_alone failed before and passes now.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -337,12 +337,25 @@
             slots: service.engine.map_or(1, |engine| engine.slots),
             ..fleet::View::default()
         };
+        let shifts = node.shifts.borrow();
+        let rollout = shifts.phase(&service.name);
+        let mut others = BTreeMap::new();
         for entry in roster.of(&service.name).filter(|entry| entry.is_listed()) {
             let endpoint = &entry.endpoint;
             let load = board.total(&endpoint.id);
             view.requests += load.requests;
-            view.count(endpoint.domain.clone(), endpoint.reclaimable);
+            let is_other = rollout.is_some_and(|(version, phase)| {
+                (endpoint.version == *version) != (phase == Phase::Completed)
+            });
+            if is_other {
+                let kind = (endpoint.domain.clone(), endpoint.reclaimable);
+                *others.entry(kind).or_default() += 1;
+            } else {
+                view.count(endpoint.domain.clone(), endpoint.reclaimable);
+            }
         }
+        let is_open = rollout.is_some_and(|(_, phase)| phase == Phase::InProgress);
+        view.other_version = (is_open || !others.is_empty()).then_some(others);
         planner.observe(&service.name, scaling, view, now);
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -44,6 +44,11 @@
     pub slots: u32,
     /// Endpoints that are not leaving, by failure domain and kind; true for reclaimable ones.
     pub endpoints: BTreeMap<(Arc<str>, bool), u32>,
+    /// The same of the version that the requests do not go to while a roll-out lasts; `None` when
+    /// there is no roll-out.
+    ///
+    /// The platform starts and stops these itself, but an order counts them.
+    pub other_version: Option<BTreeMap<(Arc<str>, bool), u32>>,
 }
 
 impl View {
@@ -167,6 +172,14 @@
         targets
     }
 
+    /// Gives the number to order while the platform starts and stops the endpoints of a version. Fewer
+    /// than there are would stop some of either version, whatever the requests need.
+    fn beside_rollout(&self, key: &(Arc<str>, bool), count: u32) -> Option<u32> {
+        let Some(others) = &self.view.other_version else { return Some(count) };
+        let raises = count > self.view.at(&key.0, key.1);
+        raises.then(|| count + others.get(key).copied().unwrap_or(0))
+    }
+
     fn is_due(&self, key: &(Arc<str>, bool), count: u32, now: Duration) -> bool {
         if self.refused.get(key).is_some_and(|until| now < *until) {
             return false;
@@ -214,6 +227,7 @@
         for (service, plan) in self.plans.iter().filter(|(_, plan)| settled(plan)) {
             for (domain, reclaimable, count) in plan.targets(now) {
                 let key = (domain, reclaimable);
+                let Some(count) = plan.beside_rollout(&key, count) else { continue };
                 if plan.is_due(&key, count, now) {
                     let (domain, service) = (key.0, service.clone());
                     orders.push(Target { service, domain, reclaimable, count });
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -261,6 +261,11 @@
         Some(Side { version, wants_new, may_cross })
     }
 
+    /// Gives the new version of a service with the phase of its roll-out.
+    pub fn phase(&self, service: &str) -> Option<(&Arc<str>, Phase)> {
+        self.shifts.get(service).map(|shift| (&shift.version, shift.phase))
+    }
+
     /// Records how an endpoint of a version answered; a late answer counts as bad.
     pub fn record(&mut self, service: &str, version: &str, is_good: bool) {
         let Some(shift) = self.shifts.get_mut(service) else { return };
--- a/tests/fleet_orders.rs
+++ b/tests/fleet_orders.rs
@@ -65,6 +65,7 @@
                 asked_tokens: self.asked,
                 slots: 32,
                 endpoints: self.running.clone(),
+                other_version: None,
             };
             self.planner.observe(&"s".into(), &scaling(), view, now);
             for order in self.planner.orders(now) {
@@ -153,3 +154,34 @@
     let after = world.count(true) + world.count(false);
     assert!(after * 2 <= before, "{before} before, {after} after");
 }
+
+/// Guards against orders that stop the endpoints which the platform has started for a new version.
+#[test]
+fn rollouts_are_left_alone() {
+    let service: Arc<str> = "s".into();
+    let mut planner = Planner::default();
+    let kinds = |reclaimable: bool, count: u32| -> BTreeMap<(Arc<str>, bool), u32> {
+        DOMAINS.iter().map(|(name, _)| ((Arc::from(*name), reclaimable), count)).collect()
+    };
+    let mut view =
+        View { slots: 8, endpoints: kinds(true, 6), other_version: None, ..View::default() };
+    let orders = |planner: &mut Planner, view: &View, second: u64| {
+        let now = Duration::from_secs(second);
+        planner.observe(&service, &scaling(), view.clone(), now);
+        let orders = planner.orders(now);
+        orders.iter().for_each(|order| planner.record(order.clone(), true, now));
+        orders
+    };
+    for second in 0..60 {
+        orders(&mut planner, &view, second);
+    }
+    view.other_version = Some(kinds(false, 6));
+    for second in 60..75 {
+        assert_eq!(orders(&mut planner, &view, second), [], "at {second} s");
+    }
+    // Lost endpoints are still made up for, beside those of the new version.
+    view.endpoints.remove(&("a".into(), true));
+    let made_up = orders(&mut planner, &view, 75);
+    assert!(made_up.iter().all(|order| &*order.domain == "a"), "{made_up:?}");
+    assert!(made_up.iter().any(|order| !order.reclaimable && order.count > 6), "{made_up:?}");
+}
