--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -20,6 +20,13 @@
     pub slack: f64,
 }
 
+impl Rule {
+    /// Gives the repeats that one of `nodes` nodes may make for its requests in a window.
+    fn allowed(&self, requests: f64, nodes: usize) -> f64 {
+        (requests * self.ratio + self.slack / nodes.max(1) as f64) * MARGIN
+    }
+}
+
 #[derive(Debug, Default)]
 struct Ledger {
     requests: VecDeque<Duration>,
@@ -55,14 +62,25 @@
         self.ledgers.entry(service.clone()).or_default().repeats.push_back(now);
     }
 
+    /// Gives the repeats of each service that this node may make now.
+    pub fn left(&self, nodes: usize, now: Duration) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        self.ledgers.iter().map(move |(service, ledger)| {
+            let recent = |times: &VecDeque<Duration>| {
+                times.iter().filter(|&&it| now.saturating_sub(it) <= self.rule.window).count()
+                    as f64
+            };
+            let allowed = self.rule.allowed(recent(&ledger.requests), nodes);
+            (service, (allowed - recent(&ledger.repeats)).max(0.0))
+        })
+    }
+
     /// Takes one repeat, unless this node has used up its part.
     pub fn take(&mut self, service: &Arc<str>, nodes: usize, now: Duration) -> bool {
         let rule = self.rule;
         let ledger = self.ledgers.entry(service.clone()).or_default();
         expire(&mut ledger.requests, rule.window, now);
         expire(&mut ledger.repeats, rule.window, now);
-        let earned = ledger.requests.len() as f64 * rule.ratio;
-        let allowed = (earned + rule.slack / nodes.max(1) as f64) * MARGIN;
+        let allowed = rule.allowed(ledger.requests.len() as f64, nodes);
         let taken = (ledger.repeats.len() as f64) < allowed;
         if taken {
             ledger.repeats.push_back(now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -7,6 +7,8 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
+use crate::gateway::platform::Call;
+use crate::platform::Failure;
 
 /// Bounds of the latency histogram in seconds.
 const LATENCY_BOUNDS: [f64; 9] = [0.02, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0, 15.0];
@@ -17,7 +19,11 @@
     outcomes: Option<IntCounterVec>,
     latencies: Option<HistogramVec>,
     repeats: Option<IntCounterVec>,
+    calls: Option<IntCounterVec>,
     gauges: Option<IntGaugeVec>,
+    peers: Option<IntGaugeVec>,
+    budgets: Option<IntGaugeVec>,
+    endpoints: Option<IntGaugeVec>,
 }
 
 impl Registry {
@@ -45,12 +51,65 @@
         let latencies =
             HistogramVec::new(options.buckets(LATENCY_BOUNDS.to_vec()), &["route"]).ok();
         let latencies = latencies.filter(|it| registry.register(Box::new(it.clone())).is_ok());
-        let gauges = IntGaugeVec::new(
-            Opts::new("pomelolink_state", "State of the node by name."),
-            &["name"],
+        let calls = counter(
+            "pomelolink_platform_calls_total",
+            "Calls to the platform by kind and outcome.",
+            &["call", "outcome"],
         );
-        let gauges = gauges.ok().filter(|it| registry.register(Box::new(it.clone())).is_ok());
-        Registry { registry, outcomes, latencies, repeats, gauges }
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels).ok()?;
+            registry.register(Box::new(gauge.clone())).ok()?;
+            Some(gauge)
+        };
+        let gauges = gauge("pomelolink_state", "State of the node by name.", &["name"]);
+        let peers = gauge(
+            "pomelolink_peer_age_milliseconds",
+            "Age of what is known of each peer.",
+            &["peer"],
+        );
+        let budgets = gauge(
+            "pomelolink_repeats_left",
+            "Repeats that this node may make now, by service.",
+            &["service"],
+        );
+        let endpoints = gauge(
+            "pomelolink_endpoint",
+            "Requests, unread prompt tokens, slowness in percent and pause of each listed endpoint.",
+            &["endpoint", "field"],
+        );
+        Registry {
+            registry,
+            outcomes,
+            latencies,
+            repeats,
+            calls,
+            gauges,
+            peers,
+            budgets,
+            endpoints,
+        }
+    }
+
+    /// Gives a call that counts its outcomes.
+    pub fn count<I: 'static, O: 'static>(
+        &self,
+        name: &'static str,
+        call: Call<I, O>,
+    ) -> Call<I, O> {
+        let Some(calls) = self.calls.clone() else { return call };
+        Box::new(move |input| {
+            let (answer, calls) = (call(input), calls.clone());
+            Box::pin(async move {
+                let result = answer.await;
+                let outcome = match &result {
+                    Ok(_) => "answered",
+                    Err(Failure::NotRun(_)) => "not_run",
+                    Err(Failure::Unknown(_)) => "unknown",
+                };
+                calls.with_label_values(&[name, outcome]).inc();
+                result
+            })
+        })
     }
 
     pub fn record_outcome(&self, route: &str, outcome: &str) {
@@ -87,6 +146,9 @@
         set("active_requests", node.active.get() as i64);
         let waiting = node.waiting.borrow().values().map(|it| it.queue.len()).sum::<usize>();
         set("waiting_requests", waiting as i64);
+        set("quota_share_permille", (node.peers.borrow().share(now) * 1_000.0) as i64);
+        set("holds_duties", i64::from(node.holds_duties.get()));
+        self.set_parts(node, now);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
             log::warn!("metrics: event=encode_failed error=\"{error}\"");
@@ -95,6 +157,39 @@
     }
 }
 
+impl Registry {
+    /// Sets the figures of each peer, service and endpoint; those of former ones are dropped, so that
+    /// the labels stay as many as there are.
+    fn set_parts(&self, node: &Node, now: Duration) {
+        if let Some(peers) = &self.peers {
+            peers.reset();
+            for (peer, age) in node.peers.borrow().ages(now) {
+                peers.with_label_values(&[&**peer]).set(age.as_millis() as i64);
+            }
+        }
+        if let Some(budgets) = &self.budgets {
+            budgets.reset();
+            let nodes = node.peers.borrow().count(now);
+            for (service, left) in node.budget.borrow().left(nodes, now) {
+                budgets.with_label_values(&[&**service]).set(left as i64);
+            }
+        }
+        if let Some(endpoints) = &self.endpoints {
+            endpoints.reset();
+            for entry in node.roster.borrow().iter() {
+                let id = &*entry.endpoint.id;
+                let load = node.board.borrow().total(id);
+                let slowness = (entry.health.slowness() * 100.0) as i64;
+                let set = |field, value| endpoints.with_label_values(&[id, field]).set(value);
+                set("requests", i64::from(load.requests));
+                set("unread_tokens", i64::from(load.unread_tokens));
+                set("slowness_percent", slowness);
+                set("paused", i64::from(entry.health.is_paused(now)));
+            }
+        }
+    }
+}
+
 impl Default for Registry {
     fn default() -> Registry {
         Registry::new()
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -129,6 +129,8 @@
         let wall = clock::wall_ms();
         let start = wall.unsigned_abs();
         let peers = Peers::new(settings.node.clone(), start);
+        let metrics = metrics::Registry::new();
+        let platform = platform.counted(&metrics);
         Rc::new(Node {
             began: clock::now(),
             start,
@@ -147,7 +149,7 @@
             peers: RefCell::new(peers),
             waiting: RefCell::default(),
             links: Links::default(),
-            metrics: metrics::Registry::new(),
+            metrics,
             epoch_ms: Cell::new(wall - clock::now().as_millis() as i64),
             stopping: Cell::default(),
             closing: Cell::default(),
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
 
-use crate::gateway::catalog;
+use crate::gateway::{catalog, metrics};
 use crate::platform::{Failure, Outcome, Row, Transaction};
 
 pub type Answer<T> = Pin<Box<dyn Future<Output = Result<T, Failure>>>>;
@@ -157,6 +157,22 @@
     pub progress: Call<Progress, ()>,
 }
 
+impl Platform {
+    /// Gives the same calls with their outcomes counted.
+    pub fn counted(self, metrics: &metrics::Registry) -> Platform {
+        Platform {
+            declarations: metrics.count("declarations", self.declarations),
+            endpoints: metrics.count("endpoints", self.endpoints),
+            rows: metrics.count("rows", self.rows),
+            transact: metrics.count("transact", self.transact),
+            usage: metrics.count("usage", self.usage),
+            order: metrics.count("order", self.order),
+            transfer: metrics.count("transfer", self.transfer),
+            progress: metrics.count("progress", self.progress),
+        }
+    }
+}
+
 impl fmt::Debug for Platform {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Platform").finish_non_exhaustive()
