Show in the operations page how to get from a request's id to its cause

Three failed requests of the test rig with the logs it made; a test runs the page's commands and compares the output, another one checks that the page names every event that the gateway logs.

--- a/tests/request_explain.rs
+++ b/tests/request_explain.rs
@@ -77,3 +77,51 @@
     assert_eq!(run(&["explain", "r1", "missing.log"]).status.code(), Some(1));
     assert_eq!(run(&["explain", "r1"]).status.code(), Some(2));
 }
+
+const PAGE: &str = include_str!("../docs/OPERATIONS.md");
+
+/// Guards against a walk-through whose commands print something else than the page says.
+#[test]
+fn page_shows_what_the_commands_print() {
+    let mut shown = 0;
+    for block in PAGE.split("```console\n$ pomelolink explain ").skip(1) {
+        let (words, rest) = block.split_once('\n').unwrap();
+        let (expected, _) = rest.split_once("```").unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_pomelolink"))
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .arg("explain")
+            .args(words.split_whitespace())
+            .output()
+            .unwrap();
+        assert_eq!(String::from_utf8(output.stdout).unwrap(), expected, "{words}");
+        shown += 1;
+    }
+    assert_eq!(shown, 3);
+}
+
+/// Gives the events that a folder's sources log.
+fn logged(folder: &str) -> Vec<String> {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+    let mut events = Vec::new();
+    for file in std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()) {
+        let text = std::fs::read_to_string(file).unwrap();
+        for (at, found) in text.match_indices("event=") {
+            let name =
+                text[at + found.len()..].split(|it: char| it != '_' && !it.is_ascii_lowercase());
+            events.extend(name.take(1).filter(|name| !name.is_empty()).map(str::to_owned));
+        }
+    }
+    events
+}
+
+/// Guards against an event that the list of events does not name.
+#[test]
+fn page_names_all_events() {
+    let mut events = [logged("src/gateway"), logged("platform/src")].concat();
+    // Events whose names are chosen at the place that logs them.
+    events.extend(["unsent", "endpoint_refused", "unknown", "stream_broken"].map(str::to_owned));
+    assert!(events.len() > 40, "{events:?}");
+    for event in events {
+        assert!(PAGE.contains(&format!("`{event}`")), "{event} is missing");
+    }
+}
