Move the node's state, admission and drains below the interface to callers

The daemon was imported by the caller and stream modules that it imports itself. crate::node, admission::door and stream::drain now stand below both; nothing under src imports the daemon but its programs. What is left of the circle: stream::remote takes streams over with caller::pump and caller::draft. Moves and imports only.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,6 +3,7 @@
 //! A refused request was not run. Under overload, a request that would miss its deadline takes
 //! capacity from one that would not, so it is refused early. See `docs/design.md`, section 9.5.
 
+pub mod door;
 mod limit;
 mod pace;
 mod queue;
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,6 +1,5 @@
 //! HTTP interface towards callers; see `docs/callers.md`.
 
-pub mod admit;
 pub mod body;
 pub mod chat;
 pub mod draft;
@@ -21,9 +20,9 @@
 use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
 
-use crate::daemon::Node;
 use crate::endpoint::answer::REQUEST_ID;
 use crate::error::{Error, Kind, Result};
+use crate::node::Node;
 use crate::resource::{Catalog, Kind as ResourceKind, Protocol, Service, Spec};
 use crate::{admission, claim};
 
@@ -64,7 +63,7 @@
         name: &Arc<str>,
         service: &Service,
         work: u32,
-    ) -> Result<admit::Permit> {
+    ) -> Result<admission::door::Permit> {
         let limit = in_flight_limit(node, &self.catalog, name, service);
         let door = node.admit.door(name, service.in_flight, limit);
         let share = self.catalog.workspace(&self.workspace).map_or(1, |workspace| workspace.share);
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -11,10 +11,12 @@
 use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, Visitor};
 use tokio::time::Instant;
 
-use super::{Context, admit, body, draft, event, identify, pump, target};
-use crate::daemon::{Node, drain};
+use super::{Context, body, draft, event, identify, pump, target};
+use crate::admission::door;
 use crate::error::{Error, Kind, Result};
+use crate::node::Node;
 use crate::resource::{Protocol, Service};
+use crate::stream::drain;
 use crate::stream::{self, Finish};
 
 /// Names the header by which a caller goes on with a stream whose connection broke.
@@ -93,7 +95,7 @@
     head: &Head,
     service: &Service,
     text: &str,
-) -> Result<(admit::Permit, stream::Request)> {
+) -> Result<(door::Permit, stream::Request)> {
     let name: Arc<str> = head.model.as_str().into();
     let work = head.max_tokens.unwrap_or(EXPECTED_TOKENS);
     let permit = tokio::select! {
@@ -118,7 +120,7 @@
 /// Opens the journal entry; from here on the request is accepted.
 pub fn accept(
     node: &Arc<Node>,
-    permit: admit::Permit,
+    permit: door::Permit,
     request: stream::Request,
 ) -> Result<Arc<stream::Entry>> {
     let entry = node.journal.open(request, Vec::new()).ok_or_else(|| {
--- a/src/caller/draft.rs
+++ b/src/caller/draft.rs
@@ -14,10 +14,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::{admit, chat, event, identify};
-use crate::daemon::Node;
+use super::{chat, event, identify};
+use crate::admission::door;
 use crate::error::{Error, Kind, Result};
 use crate::membership::Status;
+use crate::node::Node;
 use crate::platform::{Failure, Outcome, Query, Transaction};
 use crate::stream::{self, Entry, Finish, remote};
 
@@ -81,7 +82,7 @@
 /// with `OutcomeUnknown` when the answer of the store was lost.
 pub async fn accept(
     node: &Arc<Node>,
-    permit: admit::Permit,
+    permit: door::Permit,
     mut request: stream::Request,
 ) -> Result<Response> {
     request.draft = true;
--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -14,12 +14,13 @@
 use xxhash_rust::xxh3;
 
 use super::target::{self, Flight, Trouble, Wish};
-use super::{Context, admit, body, identify};
+use super::{Context, body, identify};
+use crate::admission::door;
 use crate::claim::{self, keeper};
-use crate::daemon::Node;
 use crate::endpoint::answer::{self, Answer, Fault, REQUEST_ID};
 use crate::endpoint::pool;
 use crate::error::{Error, Kind, Result, Run};
+use crate::node::Node;
 
 /// Names the header by which a caller makes a non-idempotent request repeatable.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -112,7 +113,7 @@
     call: Call,
     idempotent: bool,
     key: Option<String>,
-    permit: admit::Permit,
+    permit: door::Permit,
 ) -> Result<Answer> {
     let (node, context) = (&node, &context);
     // Admission predicts from the time that endpoints take. A request that was not sent, for instance
--- a/src/caller/plain/lookup.rs
+++ b/src/caller/plain/lookup.rs
@@ -8,10 +8,10 @@
 use super::{Call, refuse, send};
 use crate::caller::Context;
 use crate::caller::target::{self, Flight, Wish};
-use crate::daemon::Node;
 use crate::endpoint::answer::Answer;
 use crate::endpoint::pool;
 use crate::error::{Error, Kind, Result, Run};
+use crate::node::Node;
 use crate::retry;
 
 /// Shortest time in which a further attempt can succeed, and after which it is worth hedging: below
--- a/src/caller/pump.rs
+++ b/src/caller/pump.rs
@@ -12,11 +12,11 @@
 
 use super::target::{self, Flight, Trouble, Wish};
 use super::{PRIORITY, chat, draft};
-use crate::daemon::Node;
 use crate::endpoint::answer::{self, Fault, REQUEST_ID};
 use crate::endpoint::pool::{Lent, PROOF_AGE, Pool};
 use crate::endpoint::sse;
 use crate::error::Kind;
+use crate::node::Node;
 use crate::routing;
 use crate::stream::{Entry, Finish, state};
 use crate::timeline::Subject;
--- a/src/caller/target.rs
+++ b/src/caller/target.rs
@@ -7,8 +7,8 @@
 use http::HeaderMap;
 use smallvec::SmallVec;
 
-use crate::daemon::Node;
 use crate::error::{Error, Kind, Result};
+use crate::node::Node;
 use crate::resource::Catalog;
 use crate::rollout::{self, Split};
 use crate::routing::{Candidate, Key};
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,9 +1,9 @@
 //! The daemon: starts the parts of an entry VM, runs their loops and stops them in order.
 
 pub mod capacity;
-pub mod drain;
+
 mod moves;
-pub mod node;
+
 mod peers;
 mod vms;
 
@@ -18,11 +18,11 @@
 
 use crate::caller::draft;
 use crate::config::Settings;
+use crate::node::Node;
+use crate::stream::drain;
 use crate::util::serve;
 use crate::{caller, claim, lease, operator, timeline};
 
-pub use node::Node;
-
 /// Time for which a finished stream can still be read.
 const FINISHED_KEEP: Duration = Duration::from_secs(60);
 /// Period in which events are written to the object store.
--- a/src/daemon/capacity.rs
+++ b/src/daemon/capacity.rs
@@ -13,10 +13,10 @@
 
 use serde::Deserialize;
 
-use super::Node;
 use crate::capacity::planner::Ledger;
 use crate::claim;
 use crate::lease::{Duty, Keeper};
+use crate::node::Node;
 use crate::platform::Row;
 
 /// Names the duty; failure domains are weighed against each other, so there is one holder.
--- a/src/daemon/capacity/demand.rs
+++ b/src/daemon/capacity/demand.rs
@@ -7,7 +7,7 @@
 use prometheus::core::Collector;
 use serde::{Deserialize, Serialize};
 
-use super::super::Node;
+use crate::node::Node;
 use crate::platform::{Row, Transaction, Write};
 use crate::resource::{Catalog, Protocol};
 
--- a/src/daemon/capacity/fleet.rs
+++ b/src/daemon/capacity/fleet.rs
@@ -7,10 +7,10 @@
 
 use tokio::net::TcpStream;
 
-use super::super::Node;
 use super::demand::Report;
 use crate::capacity::planner::Ledger;
 use crate::capacity::{Machine, Place};
+use crate::node::Node;
 use crate::order;
 use crate::platform::Vm;
 
--- a/src/daemon/moves.rs
+++ b/src/daemon/moves.rs
@@ -5,9 +5,9 @@
 
 use serde_json::json;
 
-use super::Node;
 use crate::claim;
 use crate::lease::{Duty, Keeper};
+use crate::node::Node;
 use crate::peer::Request;
 use crate::resource::{Phase, Progress, Spec};
 use crate::revision::commit;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -5,8 +5,9 @@
 
 use futures_util::future::BoxFuture;
 
-use super::{Node, moves, vms};
+use super::{moves, vms};
 use crate::membership::Status;
+use crate::node::Node;
 use crate::peer::{self, Reply, Request};
 use crate::{revision, rollout, stream};
 
--- a/src/daemon/vms.rs
+++ b/src/daemon/vms.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::Node;
+use crate::node::Node;
 use crate::peer::{Reply, Request};
 use crate::platform::{Notice, Vm};
 use crate::routing;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metric;
+pub mod node;
 pub mod operator;
 pub mod order;
 pub mod peer;
--- a/src/daemon/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::{Semaphore, watch};
 
-use crate::caller::admit;
+use crate::admission::door;
 use crate::config::Settings;
 use crate::metric::Metrics;
 use crate::platform::{self, Vm};
@@ -33,8 +33,8 @@
     pub journal: stream::Journal,
     pub directory: endpoint::Directory,
     pub batcher: claim::Batcher,
-    pub admit: admit::Doors,
-    pub limits: admit::Limits,
+    pub admit: door::Doors,
+    pub limits: door::Limits,
     /// Bounds the requests whose answer has not begun, and with them the bodies in memory.
     pub places: Semaphore,
     pub metrics: Metrics,
@@ -86,8 +86,8 @@
             started: Instant::now(),
             revision: Arc::default(),
             directory: endpoint::Directory::default(),
-            admit: admit::Doors::default(),
-            limits: admit::Limits::default(),
+            admit: door::Doors::default(),
+            limits: door::Limits::default(),
             places: Semaphore::new(settings.limits.in_flight),
             metrics: Metrics::new(),
             network: OnceLock::new(),
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -3,6 +3,7 @@
 //! An entry holds the request and every token relayed so far, so that a caller, another endpoint or
 //! another node can go on exactly after an offset; see `docs/design.md`, section 8.
 
+pub mod drain;
 pub mod journal;
 pub mod remote;
 pub mod state;
--- a/src/daemon/drain.rs
+++ b/src/stream/drain.rs
@@ -6,8 +6,8 @@
 
 use futures_util::StreamExt;
 
-use super::Node;
 use crate::membership::{Member, Status};
+use crate::node::Node;
 use crate::peer::{Reply, Request};
 use crate::stream::{self, Entry};
 use crate::timeline::Subject;
--- a/src/stream/remote.rs
+++ b/src/stream/remote.rs
@@ -12,10 +12,11 @@
 
 use super::{Entry, Finish, Request, owner};
 use crate::caller::{draft, pump};
-use crate::daemon::{Node, drain};
 use crate::error::{Error, Kind, Result};
 use crate::membership::{Member, Status};
+use crate::node::Node;
 use crate::peer::{self, Reply};
+use crate::stream::drain;
 use crate::timeline::Subject;
 
 /// Time for which a node holds a fetch open while there is nothing new.
--- a/src/stream/state.rs
+++ b/src/stream/state.rs
@@ -8,9 +8,9 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
-use crate::daemon::Node;
 use crate::endpoint::answer::{self, Answer};
 use crate::endpoint::pool::PROOF_AGE;
+use crate::node::Node;
 
 /// Largest state that is moved; a larger one is computed again.
 const STATE_BYTES: usize = 64 << 20;
