--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -174,7 +174,7 @@
 
     /// Gives the number to order while the platform starts and stops the endpoints of a version. Fewer
     /// than there are would stop some of either version, whatever the requests need.
-    fn beside_rollout(&self, key: &(Arc<str>, bool), count: u32) -> Option<u32> {
+    fn during_rollout(&self, key: &(Arc<str>, bool), count: u32) -> Option<u32> {
         let Some(others) = &self.view.other_version else { return Some(count) };
         let raises = count > self.view.at(&key.0, key.1);
         raises.then(|| count + others.get(key).copied().unwrap_or(0))
@@ -227,7 +227,7 @@
         for (service, plan) in self.plans.iter().filter(|(_, plan)| settled(plan)) {
             for (domain, reclaimable, count) in plan.targets(now) {
                 let key = (domain, reclaimable);
-                let Some(count) = plan.beside_rollout(&key, count) else { continue };
+                let Some(count) = plan.during_rollout(&key, count) else { continue };
                 if plan.is_due(&key, count, now) {
                     let (domain, service) = (key.0, service.clone());
                     orders.push(Target { service, domain, reclaimable, count });
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -441,7 +441,7 @@
         // Endpoints that seem to fail are still better than none.
         entries = roster.of(&ask.service).filter(fits).filter(|entry| entry.is_listed()).collect();
     }
-    if entries.is_empty() && version.is_some_and(|version| version.may_cross()) {
+    if entries.is_empty() && version.is_some_and(|version| version.allows_other()) {
         let others = roster.of(&ask.service).filter(|entry| !tried.contains(&entry.endpoint.id));
         entries = others.filter(|entry| entry.is_listed()).collect();
     }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -186,11 +186,11 @@
     let now = clock::now();
     let mut quotas = node.quotas.borrow_mut();
     let taken = quotas.take(&tenant.name, units, now);
-    if taken.is_ok() && quotas.is_pressing(node.peers.borrow().count(now)) {
-        node.pressing.notify_one();
+    if taken.is_ok() && quotas.is_nearly_used_up(node.peers.borrow().count(now)) {
+        node.quota_news.notify_one();
     }
     taken.map_err(|after| {
-        let (admitted, limit) = quotas.fill(&tenant.name);
+        let (admitted, limit) = quotas.used(&tenant.name);
         log::info!(
             "handle: event=quota_full id={} tenant={} units={units} admitted={admitted} limit={limit}",
             demand.id,
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -109,7 +109,7 @@
     pub closing: Cell<bool>,
     pub stop: Notify,
     /// Tells that the peers must hear soon what this node has admitted.
-    pub pressing: Notify,
+    pub quota_news: Notify,
     /// Set while this node holds the lease of the duties.
     pub holds_duties: Cell<bool>,
     /// Requests being served.
@@ -154,7 +154,7 @@
             stopping: Cell::default(),
             closing: Cell::default(),
             stop: Notify::new(),
-            pressing: Notify::new(),
+            quota_news: Notify::new(),
             holds_duties: Cell::default(),
             active: Cell::default(),
             departures: watch::Sender::new(0),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,7 +22,7 @@
 const PERIOD: Duration = Duration::from_millis(200);
 /// Least time between two datagrams while a quota is nearly used up: thirty nodes that are asked for
 /// many times a quota exceed it by what they admit in this time.
-const PRESSING_PERIOD: Duration = Duration::from_millis(25);
+const NEWS_PERIOD: Duration = Duration::from_millis(25);
 /// Silence after which a peer is no longer heard.
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// Silence after which a peer counts as gone for good and leaves its part of the quotas.
@@ -93,7 +93,7 @@
     holds_duties: bool,
     loads: Vec<(Arc<str>, Load)>,
     /// Set while the node counts the peer as heard, as its log says.
-    told_heard: bool,
+    was_heard: bool,
 }
 
 /// Holds what a node knows about the others.
@@ -124,7 +124,7 @@
             clock_ahead_ms: 0,
             holds_duties: false,
             loads: Vec::new(),
-            told_heard: false,
+            was_heard: false,
         });
         peer.address = address;
     }
@@ -186,8 +186,8 @@
         let mut changes = Vec::new();
         for (name, peer) in &mut self.peers {
             let is_heard = peer.is_heard(now);
-            if is_heard != peer.told_heard {
-                peer.told_heard = is_heard;
+            if is_heard != peer.was_heard {
+                peer.was_heard = is_heard;
                 let age = now.saturating_sub(peer.heard.unwrap_or(peer.known));
                 changes.push((name.clone(), is_heard, age));
             }
@@ -224,16 +224,16 @@
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut timer = tokio::time::interval(PERIOD);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut pressing = tokio::time::interval(PRESSING_PERIOD);
-    pressing.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut is_pressing = false;
+    let mut news_timer = tokio::time::interval(NEWS_PERIOD);
+    news_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut has_news = false;
     loop {
         tokio::select! {
             _ = timer.tick() => send(&node, &socket),
-            () = node.pressing.notified(), if !is_pressing => is_pressing = true,
+            () = node.quota_news.notified(), if !has_news => has_news = true,
             // The interval keeps the least time between two of these datagrams.
-            _ = pressing.tick(), if is_pressing => {
-                is_pressing = false;
+            _ = news_timer.tick(), if has_news => {
+                has_news = false;
                 send_admitted(&node, &socket);
             }
             received = socket.recv_from(&mut buffer) => match received {
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -217,7 +217,7 @@
     }
 
     /// Gives the units of a tenant in the window and how many this node and its peers may admit.
-    pub fn fill(&self, tenant: &str) -> (u64, u64) {
+    pub fn used(&self, tenant: &str) -> (u64, u64) {
         let Some(ledger) = self.ledgers.get(tenant) else { return (0, 0) };
         (ledger.sum, (ledger.limit(self.window) * self.share) as u64)
     }
@@ -246,7 +246,7 @@
 
     /// Tells whether the peers must hear soon what this node has admitted: if each of them has
     /// admitted as much since it last told, a quota may be used up.
-    pub fn is_pressing(&self, nodes: usize) -> bool {
+    pub fn is_nearly_used_up(&self, nodes: usize) -> bool {
         self.ledgers.values().any(|ledger| {
             let untold = (ledger.own - ledger.told) as f64;
             let room = ledger.limit(self.window) * self.share - ledger.sum as f64;
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -187,7 +187,7 @@
 pub struct Side {
     version: Arc<str>,
     wants_new: bool,
-    may_cross: bool,
+    allows_other: bool,
 }
 
 impl Side {
@@ -198,8 +198,8 @@
     /// Tells whether an endpoint of the other side may serve where this one has none listed: the new
     /// ones are still starting, or the old ones have been stopped. A version that was taken back
     /// serves nothing.
-    pub fn may_cross(&self) -> bool {
-        self.may_cross
+    pub fn allows_other(&self) -> bool {
+        self.allows_other
     }
 }
 
@@ -257,8 +257,8 @@
                 (slot as f64 / u64::MAX as f64) < shift.share
             }
         };
-        let may_cross = shift.phase != Phase::Reverted;
-        Some(Side { version, wants_new, may_cross })
+        let allows_other = shift.phase != Phase::Reverted;
+        Some(Side { version, wants_new, allows_other })
     }
 
     /// Gives the new version of a service with the phase of its roll-out.
--- a/tests/quota_window.rs
+++ b/tests/quota_window.rs
@@ -125,7 +125,7 @@
 /// Time between two datagrams of a node, least time between two when a quota is nearly used up, and
 /// time that one takes; the first two are those of `peers`.
 const BEAT_MS: u64 = 200;
-const PRESSING_MS: u64 = 25;
+const NEWS_MS: u64 = 25;
 const TRAVEL_MS: u64 = 8;
 
 /// Plays a tenant that asks for `factor` times its rate at thirty nodes; gives the worst window and
@@ -167,8 +167,8 @@
         }
         for (index, node) in nodes.iter_mut().enumerate() {
             let is_beat = (ms + index as u64 * 7).is_multiple_of(BEAT_MS);
-            let is_pressing = node.is_pressing(NODES as usize) && ms >= told[index] + PRESSING_MS;
-            if is_beat || is_pressing {
+            let has_news = node.is_nearly_used_up(NODES as usize) && ms >= told[index] + NEWS_MS;
+            if is_beat || has_news {
                 told[index] = ms;
                 let total = node.tell().first().map_or(0, |(_, total)| *total);
                 on_way.push((ms + TRAVEL_MS, index, total));
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -95,7 +95,7 @@
     one.settle("s", 7, Phase::Completed);
     other.hear(&Arc::from("n1"), 1, one.told(start), start);
     let side = other.version("s", 1).expect("a roll-out is known");
-    assert!(side.admits("v2") && side.may_cross());
+    assert!(side.admits("v2") && side.allows_other());
 }
 
 /// Guards against refusals while the wanted version has no endpoint, and against requests to a
@@ -105,9 +105,9 @@
     let mut shifts = Shifts::default();
     let start = Duration::from_secs(100);
     shifts.order("s".into(), "v2".into(), WITHIN, 7, start);
-    assert!(shifts.version("s", 1).expect("a roll-out is open").may_cross());
+    assert!(shifts.version("s", 1).expect("a roll-out is open").allows_other());
     shifts.settle("s", 7, Phase::Reverted);
-    assert!(!shifts.version("s", 1).expect("a roll-out is known").may_cross());
+    assert!(!shifts.version("s", 1).expect("a roll-out is known").allows_other());
 }
 
 /// Guards against a roll-out that begins anew with each restart and so misses its deadline.
