Register the endpoints of the test fleet before its entry VMs start

One that reads the empty list first is ready and refuses, truthfully, until it reads the list again. Shown by a run with 400 ms between the two and a poll of 3 s: fails before with the same answer, passes with this change. Bounds and checks are unchanged.

--- a/tests/callers/mod.rs
+++ b/tests/callers/mod.rs
@@ -38,6 +38,9 @@
         fleet.endpoint("engine", "engines", domain(index), engine_args)?;
     }
     fleet.endpoint("service", "bookings", domain(0), &[])?;
+    // Before the entry VMs start: one that has read an empty list is ready, and refuses as without
+    // endpoints until it reads the list again.
+    fleet.register().await?;
     for index in 0..entries {
         fleet.entry(domain(index))?;
     }
