--- a/tests/move_faults.rs
+++ b/tests/move_faults.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use pomelolink::rollout::CANARY_PERMILLE;
 use serde_json::{Value, json};
 use standin::client;
 use standin::fleet::{Fleet, control};
@@ -406,7 +407,7 @@
     shift(&fleet, "chat", "engines-2").await?;
     let began = Instant::now();
     let load = Load::start(&fleet, "chat");
-    reached(&fleet, &[0, 1, 2], 10).await?;
+    reached(&fleet, &[0, 1, 2], CANARY_PERMILLE.into()).await?;
     let first = holder(&fleet).await?;
     let rest: Vec<usize> = (0..3).filter(|&index| index != first).collect();
     load.only(&rest);
@@ -429,7 +430,7 @@
     shift(&fleet, "chat", "engines-2").await?;
     let began = Instant::now();
     let load = Load::start(&fleet, "chat");
-    reached(&fleet, &[1], 10).await?;
+    reached(&fleet, &[1], CANARY_PERMILLE.into()).await?;
     control(faults, "POST", "/faults", &json!({ "delay_ms": 2_000 })).await?;
     tokio::time::sleep(Duration::from_secs(6)).await;
     control(faults, "POST", "/faults", &json!({ "delay_ms": 0, "cut": true })).await?;
@@ -438,7 +439,7 @@
     assert_eq!(ended(&fleet, 0).await?, "done");
     assert!(began.elapsed() < Duration::from_secs(WITHIN_S + 2), "{:?}", began.elapsed());
     let steps = check_steps(&fleet);
-    assert!(steps.iter().all(|step| step.2 != 0 || step.0 <= 10), "{steps:?}");
+    assert!(steps.iter().all(|step| step.2 != 0 || step.0 <= CANARY_PERMILLE.into()), "{steps:?}");
     assert_eq!(load.failed.load(Ordering::SeqCst), 0, "callers saw failures");
     Ok(())
 }
