Count the failing requests of the move test from before the fault is set

Cause: the node stops using a version at its 20th failing response. The bounds after the 20th failure are unchanged; requests that succeed while the fault is set only make them begin earlier.

--- a/tests/move_faults.rs
+++ b/tests/move_faults.rs
@@ -299,8 +299,10 @@
     load.only(&[1]);
     fleet.control("POST", "/control/faults", &json!({ "outage": true, "mode": "hang" })).await?;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    fail(&fleet, "engines-2", json!({ "fail_share": 1.0 })).await?;
+    // Counted before the fault is set: the node may stop at its 20th failing response, the ones
+    // that arrive while the fault is set on the endpoints included.
     let before = requests(&fleet, "engines-2").await?;
+    fail(&fleet, "engines-2", json!({ "fail_share": 1.0 })).await?;
     let end = Instant::now() + Duration::from_secs(20);
     while requests(&fleet, "engines-2").await? < before + FAILING {
         assert!(Instant::now() < end, "the new version gets no requests");
