Compare a few drawn endpoints for each request, not all of them

Change: a request compares three endpoints drawn for it, two of them in the node's failure domain, and the homes of its prompt; three more where those are full.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,7 +17,7 @@
 pub mod link;
 mod metrics;
 mod node;
-mod peers;
+pub mod peers;
 pub mod place;
 pub mod platform;
 mod pump;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,6 +5,10 @@
 //! an endpoint from what it sent itself and from what its peers say they sent, and sends a prompt
 //! to the endpoint where its first token comes soonest. Prompts with the same shared part prefer the
 //! same endpoint as long as its load allows.
+//!
+//! What peers say is old as well, and all nodes hear the same. If each chose the best of all
+//! endpoints, they would fill the same one until they hear of it. So a request compares only a few
+//! endpoints drawn for it, and the homes of its prompt.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -35,6 +39,11 @@
 /// Share of an engine's slots that the nodes fill before they let requests wait.
 const SLOT_SHARE: f64 = 0.9;
 
+/// Endpoints that a request compares at once, beside the homes of its prompt.
+const DRAWN: usize = 3;
+/// Every so many drawn endpoints one is in another failure domain than the node.
+const FAR_EVERY: usize = 3;
+
 /// Counts what one node has under way on an endpoint.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
@@ -120,7 +129,8 @@
 }
 
 impl Board {
-    /// Chooses the endpoint with the earliest first token; `None` when all are full.
+    /// Chooses the endpoint with the earliest first token among a few drawn ones, and among further
+    /// ones where those are full; `None` when all are full.
     pub fn choose<'a>(
         &self,
         job: Job<'_>,
@@ -129,26 +139,46 @@
         engine: Option<&catalog::Engine>,
         now: Duration,
     ) -> Option<Choice> {
-        let idle = Site::default();
         let homes = homes(job, candidates.clone());
-        let mut best: Option<(f64, Choice)> = None;
-        for candidate in candidates {
-            let endpoint = candidate.endpoint;
-            let site = self.sites.get(&endpoint.id).unwrap_or(&idle);
-            let home = homes.iter().position(|home| *home == Some(&*endpoint.id));
-            let load = job_load(job, site, home, now);
-            if !has_room(site, load, endpoint, engine) {
-                continue;
-            }
-            let predicted = predict(site, load, endpoint, engine) * candidate.slowness;
-            let remote = if *endpoint.domain == *domain { 0.0 } else { REMOTE_MS };
-            let score = predicted + remote;
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                let predicted = Duration::from_secs_f64(predicted / 1_000.0);
-                best = Some((score, Choice { endpoint: endpoint.id.clone(), load, predicted }));
-            }
+        let order = draw(job.hash, domain, candidates);
+        let is_home = |candidate: &&Candidate<'a>| homes.contains(&Some(&*candidate.endpoint.id));
+        order.chunks(DRAWN).find_map(|drawn| {
+            let compared = drawn.iter().chain(order.iter().filter(is_home));
+            let scored = compared.filter_map(|candidate| {
+                let home = homes.iter().position(|home| *home == Some(&*candidate.endpoint.id));
+                self.score(job, domain, home, candidate, engine, now)
+            });
+            let best = scored.min_by(|(one, _), (other, _)| one.total_cmp(other));
+            best.map(|(_, choice)| choice)
+        })
+    }
+
+    /// Gives the time to the first token in milliseconds, with the penalty of another failure domain;
+    /// `None` when the endpoint is full.
+    fn score(
+        &self,
+        job: Job<'_>,
+        domain: &str,
+        home: Option<usize>,
+        candidate: &Candidate<'_>,
+        engine: Option<&catalog::Engine>,
+        now: Duration,
+    ) -> Option<(f64, Choice)> {
+        let endpoint = candidate.endpoint;
+        let idle = Site::default();
+        let site = self.sites.get(&endpoint.id).unwrap_or(&idle);
+        let load = job_load(job, site, home, now);
+        if !has_room(site, load, endpoint, engine) {
+            return None;
         }
-        best.map(|(_, choice)| choice)
+        let predicted = predict(site, load, endpoint, engine) * candidate.slowness;
+        let remote = if *endpoint.domain == *domain { 0.0 } else { REMOTE_MS };
+        let choice = Choice {
+            endpoint: endpoint.id.clone(),
+            load,
+            predicted: Duration::from_secs_f64(predicted / 1_000.0),
+        };
+        Some((predicted + remote, choice))
     }
 
     /// Counts a request as sent.
@@ -258,6 +288,36 @@
     FIRST_TOKEN_MS + unread / READ_TOKENS_PER_MS + RUNNING_MS * running
 }
 
+/// Gives the candidates in an order of the request's own, in which each few hold some of the node's
+/// failure domain and some of the others.
+fn draw<'a>(
+    hash: u64,
+    domain: &str,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Vec<Candidate<'a>> {
+    let mut keyed: Vec<_> = candidates
+        .map(|candidate| {
+            let key = xxh3::xxh3_64_with_seed(candidate.endpoint.id.as_bytes(), hash);
+            (key, candidate)
+        })
+        .collect();
+    keyed.sort_unstable_by_key(|(key, _)| *key);
+    let (near, far): (Vec<_>, Vec<_>) = keyed
+        .into_iter()
+        .map(|(_, candidate)| candidate)
+        .partition(|candidate| *candidate.endpoint.domain == *domain);
+    let (mut near, mut far) = (near.into_iter(), far.into_iter());
+    let next = |place: usize| {
+        let takes_far = place % FAR_EVERY == FAR_EVERY - 1;
+        if takes_far {
+            far.next().or_else(|| near.next())
+        } else {
+            near.next().or_else(|| far.next())
+        }
+    };
+    (0..).map_while(next).collect()
+}
+
 /// Gives the first and the second home of the shared parts of a prompt.
 ///
 /// All nodes compute the same homes by rendezvous hashing, so they agree without a message, and when
