--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! them run on one thread. What the platform calls things stays in `platform/`; see
 //! `docs/platform.md`.
 
+pub mod board;
 pub mod budget;
 pub mod catalog;
 pub mod clock;
@@ -18,7 +19,7 @@
 mod metrics;
 mod node;
 pub mod peers;
-pub mod place;
+mod place;
 pub mod platform;
 mod pump;
 pub mod queue;
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use crate::gateway::clock;
-use crate::gateway::forward::{self, Placed};
 use crate::gateway::handle::Ask;
 use crate::gateway::node::Node;
+use crate::gateway::place::{self, Placed};
 use crate::gateway::platform::{State, Transfer};
 
 /// Time before the end of an endpoint at which its streams are moved: their states share a link,
@@ -45,7 +45,7 @@
     ask: Rc<Ask>,
     from: crate::gateway::platform::Endpoint,
 ) -> Option<Moved> {
-    let placed = forward::place_now(&node, &ask, std::slice::from_ref(&from.id))?;
+    let placed = place::now(&node, &ask, std::slice::from_ref(&from.id))?;
     let began = clock::now();
     let transfer = Transfer {
         id: ask.demand.id.clone(),
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -9,12 +9,12 @@
 
 use tokio::sync::{Notify, watch};
 
+use crate::gateway::board::Board;
 use crate::gateway::budget::{Budget, Rule};
 use crate::gateway::catalog::Catalog;
 use crate::gateway::demand::Demand;
 use crate::gateway::link::Links;
 use crate::gateway::peers::Peers;
-use crate::gateway::place::Board;
 use crate::gateway::platform::{Dialect, Platform};
 use crate::gateway::queue::{Queue, Rank};
 use crate::gateway::quota::Quotas;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,9 +12,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
+use crate::gateway::board::Load;
 use crate::gateway::clock;
 use crate::gateway::node::Node;
-use crate::gateway::place::Load;
 use crate::gateway::platform::Rows;
 use crate::platform::{Outcome, Transaction};
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -1,421 +1,287 @@
-//! Choice of the endpoint for a request.
+//! Finds the endpoint for a request, or lets it wait for one.
 //!
-//! The heaviest load is a burst of long prompts: each delays the tokens of all requests that run
-//! beside it, and the load reports of engines are stale. So every node estimates the work ahead on
-//! an endpoint from what it sent itself and from what its peers say they sent, and sends a prompt
-//! to the endpoint where its first token comes soonest. Prompts with the same shared part prefer the
-//! same endpoint as long as its load allows.
-//!
-//! What peers say is old as well, and all nodes hear the same. If each chose the best of all
-//! endpoints, they would fill the same one until they hear of it. So a request compares only a few
-//! endpoints drawn for it, and the homes of its prompt.
-//!
-//! Where half of the endpoints are gone, the rest is slower than an estimate by tokens says, in a way
-//! that all of them share: the service's pace. A request that can't begin to be answered within its
-//! target anywhere is refused at once, which keeps the others on time.
+//! A request waits on the node, in the order of [`queue`], while all endpoints are full. It is refused
+//! as soon as no endpoint can begin to answer it in time.
 
-use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3;
-
-use crate::gateway::catalog;
-use crate::gateway::platform::{Endpoint, Prompt};
-
-/// Prompt tokens that an engine reads in a millisecond until its pace was seen.
-const READ_TOKENS_PER_MS: f64 = 40.0;
-/// Delay of the first token by each request that already runs in the batch.
-const RUNNING_MS: f64 = 0.6;
-/// Fixed time to the first token on an idle engine.
-const FIRST_TOKEN_MS: f64 = 15.0;
-/// Penalty of another failure domain, for its latency and the price of its bytes.
-const REMOTE_MS: f64 = 12.0;
-/// Part of the shared tokens that the first and the second home of a prompt are believed to keep,
-/// while this node has not sent them there itself.
-const HOME_SHARES: [f64; 2] = [0.9, 0.4];
-/// Time for which an engine is believed to keep a part that nobody asked for again.
-const CACHE_TIME: Duration = Duration::from_secs(20);
-/// Parts remembered for one endpoint.
-const PARTS: usize = 4_096;
-/// Share of an engine's memory that may be promised to requests.
-const MEMORY_SHARE: f64 = 0.9;
-/// Share of an engine's slots that the nodes fill before they let requests wait.
-const SLOT_SHARE: f64 = 0.9;
-
-/// Endpoints that a request compares at once, beside the homes of its prompt.
-const DRAWN: usize = 3;
-/// Every so many drawn endpoints one is in another failure domain than the node.
-const FAR_EVERY: usize = 3;
-
-/// Weight of one answer in the pace of a service, its bounds, and the time in which half of it is
-/// forgotten, so that a service from which nothing is heard is tried again.
-const PACE_WEIGHT: f64 = 0.15;
-const PACE_RANGE: (f64, f64) = (1.0, 20.0);
-const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
-
-/// Counts what one node has under way on an endpoint.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Load {
-    pub requests: u32,
-    /// Prompt tokens that the engine still has to read.
-    pub unread_tokens: u32,
-    /// Tokens that the requests may occupy in memory.
-    pub memory_tokens: u32,
+use smallvec::SmallVec;
+use tokio::sync::Notify;
+
+use crate::gateway::board::{Candidate, Choice, Job, Lack, Load};
+use crate::gateway::clock;
+use crate::gateway::handle::{Ask, Refusal};
+use crate::gateway::node::Node;
+use crate::gateway::platform::Endpoint;
+use crate::gateway::queue;
+use crate::gateway::refusal::Cause;
+use crate::gateway::roster;
+
+/// Shortest advice when all endpoints are crowded; some room comes up several times a second.
+const CROWDED_ADVICE: Duration = Duration::from_millis(150);
+/// Advice when a service has no endpoint; new ones take seconds to start.
+const NO_ENDPOINT_ADVICE: Duration = Duration::from_millis(800);
+/// Shortest estimate that a time is compared with, in seconds.
+const SHORTEST_S: f64 = 0.005;
+
+/// Counts a request on its endpoint until it is dropped.
+#[derive(Debug)]
+pub struct Placed {
+    node: Rc<Node>,
+    pub endpoint: Endpoint,
+    load: Load,
+    /// Time to the first byte at the usual pace of the service.
+    usual: Duration,
+    pub predicted: Duration,
+    pub began: Duration,
 }
 
-impl Load {
-    pub fn add(&mut self, other: Load) {
-        self.requests += other.requests;
-        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
-        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+impl Placed {
+    /// Records that the prompt was read; `target` is the time within which the route wants that.
+    pub fn first_event(&mut self, target: Duration) {
+        let now = clock::now();
+        let took = now.saturating_sub(self.began);
+        let ratio = took.as_secs_f64() / self.usual.as_secs_f64().max(SHORTEST_S);
+        let mut board = self.node.board.borrow_mut();
+        board.first_event(&self.endpoint.id, &mut self.load);
+        if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
+            health.record_speed(ratio / board.pace(&self.endpoint.service, now));
+        }
+        board.record_pace(&self.endpoint.service, ratio, now);
+        drop(board);
+        self.note_success();
+        self.record_evidence(took <= target);
     }
 
-    fn remove(&mut self, other: Load) {
-        self.requests = self.requests.saturating_sub(other.requests);
-        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
-        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    /// Counts an answer for the version of the endpoint, in case it is being rolled out.
+    fn record_evidence(&self, is_good: bool) {
+        let Endpoint { service, version, .. } = &self.endpoint;
+        self.node.shifts.borrow_mut().record(service, version, is_good);
     }
-}
 
-/// Remembers which parts an endpoint has read lately.
-#[derive(Debug, Default)]
-struct Cache {
-    used: HashMap<u64, Duration>,
-    order: VecDeque<u64>,
-}
+    pub fn record_success(&self) {
+        self.note_success();
+        self.record_evidence(true);
+    }
 
-impl Cache {
-    fn touch(&mut self, part: u64, now: Duration) {
-        if self.used.insert(part, now).is_none() {
-            self.order.push_back(part);
-        }
-        while self.order.len() > PARTS {
-            if let Some(oldest) = self.order.pop_front() {
-                self.used.remove(&oldest);
-            }
+    fn note_success(&self) {
+        let mut roster = self.node.roster.borrow_mut();
+        let id = &self.endpoint.id;
+        if roster.health(id).is_some_and(|health| health.record_success()) {
+            log::info!("place: event=endpoint_regained endpoint={id}");
         }
     }
 
-    fn holds(&self, part: u64, now: Duration) -> bool {
-        self.used.get(&part).is_some_and(|&used| now.saturating_sub(used) < CACHE_TIME)
+    pub fn record_failure(&self) {
+        self.record_evidence(false);
+        let mut roster = self.node.roster.borrow_mut();
+        let id = &self.endpoint.id;
+        let paused = roster.health(id).and_then(|health| health.record_failure(clock::now()));
+        if let Some(roster::Pause { length, failures, share }) = paused {
+            log::info!(
+                "place: event=endpoint_paused endpoint={id} pause_ms={} failures={failures} \
+                 failure_share={share:.2}",
+                length.as_millis()
+            );
+        }
     }
 }
 
-#[derive(Debug, Default)]
-struct Site {
-    own: Load,
-    peers: Load,
-    cache: Cache,
-}
-
-/// Time to the first token against the estimate, over all endpoints of a service.
-#[derive(Debug, Clone, Copy)]
-struct Pace {
-    ratio: f64,
-    since: Duration,
-}
-
-impl Pace {
-    fn at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.since).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        1.0 + (self.ratio - 1.0) * 0.5_f64.powf(age)
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.node.board.borrow_mut().end(&self.endpoint.id, self.load);
+        self.node.release(&self.endpoint.service);
     }
 }
 
-/// Holds the estimates of one node about all endpoints.
-#[derive(Debug, Default)]
-pub struct Board {
-    sites: HashMap<Arc<str>, Site>,
-    paces: HashMap<Arc<str>, Pace>,
-}
-
-/// Describes a request that looks for an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub struct Job<'a> {
-    pub prompt: Option<&'a Prompt>,
-    pub hash: u64,
-    /// Time by which the first token must come.
-    pub latest: Duration,
-}
-
-/// An endpoint that may take the request, with the node's evidence about its speed.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate<'a> {
-    pub endpoint: &'a Endpoint,
-    pub slowness: f64,
+/// Holds a request's place in the queue until it is dropped.
+struct Turn {
+    node: Rc<Node>,
+    service: Arc<str>,
+    rank: queue::Rank,
+    notify: Rc<Notify>,
 }
 
-/// Holds a choice and the work that it adds to the endpoint.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Choice {
-    pub endpoint: Arc<str>,
-    pub load: Load,
-    /// Time to the first byte at the usual pace of the service and speed of the endpoint.
-    pub usual: Duration,
-    /// The same at the present pace and speed.
-    pub predicted: Duration,
-}
-
-/// Tells why no endpoint takes a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Lack {
-    /// The first token would come this much too late at the best of the endpoints with room.
-    Time(Duration),
-    /// All endpoints are full.
-    Room,
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some(waiting) = self.node.waiting.borrow_mut().get_mut(&self.service) {
+            waiting.leave(&self.rank);
+            // The place that this request didn't take is free for the next one.
+            waiting.wake(1);
+        }
+    }
 }
 
-impl Board {
-    /// Chooses the endpoint with the earliest first token among a few drawn ones, and among further
-    /// ones where those are full.
-    ///
-    /// # Errors
-    ///
-    /// Tells what all endpoints lack.
-    pub fn choose<'a>(
-        &self,
-        job: Job<'_>,
-        domain: &str,
-        candidates: impl Iterator<Item = Candidate<'a>> + Clone,
-        engine: Option<&catalog::Engine>,
-        now: Duration,
-    ) -> Result<Choice, Lack> {
-        let homes = homes(job, candidates.clone());
-        let order = draw(job.hash, domain, candidates);
-        let is_home = |candidate: &&Candidate<'a>| homes.contains(&Some(&*candidate.endpoint.id));
-        let mut lack = Lack::Room;
-        for drawn in order.chunks(DRAWN) {
-            let mut best: Option<(f64, Choice)> = None;
-            for candidate in drawn.iter().chain(order.iter().filter(is_home)) {
-                let home = homes.iter().position(|home| *home == Some(&*candidate.endpoint.id));
-                match self.consider(job, home, candidate, engine, now) {
-                    Ok(choice) => {
-                        let is_near = *candidate.endpoint.domain == *domain;
-                        let remote = if is_near { 0.0 } else { REMOTE_MS };
-                        let score = choice.predicted.as_secs_f64() * 1_000.0 + remote;
-                        if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                            best = Some((score, choice));
-                        }
-                    }
-                    Err(found) => lack = lack.min(found),
-                }
+/// Finds an endpoint for a request, or waits for room at one.
+///
+/// # Errors
+///
+/// Gives the refusal when the request can't be served in time.
+pub async fn wait(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Result<Placed, Refusal> {
+    let latest = ask.until.min(ask.arrived + ask.route.target_latency);
+    let latest = if tried.is_empty() { latest } else { ask.until };
+    let advice = |after| (Cause::Busy, Some(queue::spread(after, ask.hash)));
+    let mut turn: Option<Turn> = None;
+    loop {
+        let now = clock::now();
+        let is_next = is_next(node, ask, turn.as_ref());
+        match is_next.then(|| choose(node, ask, tried, latest, now)) {
+            Some(Chosen::Endpoint(placed)) => {
+                log::info!(
+                    "place: event=placed id={} route={} endpoint={} domain={} waited_ms={} \
+                     predicted_ms={} running={} {}",
+                    ask.demand.id,
+                    ask.route.name,
+                    placed.endpoint.id,
+                    placed.endpoint.domain,
+                    now.saturating_sub(ask.arrived).as_millis(),
+                    placed.predicted.as_millis(),
+                    node.board.borrow().total(&placed.endpoint.id).requests,
+                    node.beliefs(now)
+                );
+                return Ok(placed);
             }
-            if let Some((_, choice)) = best {
-                return Ok(choice);
+            Some(Chosen::NoEndpoint) => {
+                return Err((Cause::NoEndpoint, Some(queue::spread(NO_ENDPOINT_ADVICE, ask.hash))));
             }
+            Some(Chosen::Late(late)) => {
+                log::info!(
+                    "place: event=crowded id={} service={} time_left_ms={} late_ms={} pace={:.1}",
+                    ask.demand.id,
+                    ask.service,
+                    latest.saturating_sub(now).as_millis(),
+                    late.as_millis(),
+                    node.board.borrow().pace(&ask.service, now)
+                );
+                return Err(advice(late.max(CROWDED_ADVICE)));
+            }
+            Some(Chosen::Full) | None => {}
         }
-        Err(lack)
-    }
-
-    /// Estimates what a request would meet at an endpoint.
-    fn consider(
-        &self,
-        job: Job<'_>,
-        home: Option<usize>,
-        candidate: &Candidate<'_>,
-        engine: Option<&catalog::Engine>,
-        now: Duration,
-    ) -> Result<Choice, Lack> {
-        let endpoint = candidate.endpoint;
-        let idle = Site::default();
-        let site = self.sites.get(&endpoint.id).unwrap_or(&idle);
-        let load = job_load(job, site, home, now);
-        if !has_room(site, load, endpoint, engine) {
-            return Err(Lack::Room);
-        }
-        let usual = predict(site, load, endpoint, engine);
-        let predicted = usual.mul_f64(candidate.slowness * self.pace(&endpoint.service, now));
-        let late = (now + predicted).saturating_sub(job.latest);
-        // An idle endpoint is tried whatever the estimate says, so that a wrong one is corrected.
-        let is_idle = site.own.requests + site.peers.requests == 0;
-        if engine.is_some() && !late.is_zero() && !is_idle {
-            return Err(Lack::Time(late));
-        }
-        Ok(Choice { endpoint: endpoint.id.clone(), load, usual, predicted })
-    }
-
-    /// Gives the time to the first token against the estimate, over all endpoints of a service.
-    pub fn pace(&self, service: &str, now: Duration) -> f64 {
-        self.paces.get(service).map_or(1.0, |pace| pace.at(now))
-    }
-
-    /// Records a time to the first token against that of the usual pace.
-    pub fn record_pace(&mut self, service: &Arc<str>, ratio: f64, now: Duration) {
-        let known = self.pace(service, now);
-        let ratio = known + (ratio.min(PACE_RANGE.1) - known) * PACE_WEIGHT;
-        let pace = Pace { ratio: ratio.max(PACE_RANGE.0), since: now };
-        self.paces.insert(service.clone(), pace);
-    }
-
-    /// Counts a request as sent.
-    pub fn begin(&mut self, choice: &Choice, prompt: Option<&Prompt>, now: Duration) {
-        let site = self.sites.entry(choice.endpoint.clone()).or_default();
-        site.own.add(choice.load);
-        for part in prompt.iter().flat_map(|prompt| &prompt.parts) {
-            site.cache.touch(part.hash, now);
-        }
-    }
-
-    /// Counts the prompt as read: the first event has come.
-    pub fn first_event(&mut self, endpoint: &str, load: &mut Load) {
-        if let Some(site) = self.sites.get_mut(endpoint) {
-            site.own.remove(Load { unread_tokens: load.unread_tokens, ..Load::default() });
-        }
-        load.unread_tokens = 0;
-    }
-
-    /// Counts a request as ended.
-    pub fn end(&mut self, endpoint: &str, load: Load) {
-        if let Some(site) = self.sites.get_mut(endpoint) {
-            site.own.remove(load);
-        }
-    }
-
-    /// Replaces what the peers have under way.
-    pub fn set_peers(&mut self, loads: impl Iterator<Item = (Arc<str>, Load)>) {
-        for site in self.sites.values_mut() {
-            site.peers = Load::default();
+        match &turn {
+            None => {
+                turn = Some(join(node, ask, latest, now).map_err(|after| {
+                    log::info!(
+                        "place: event=queue_full id={} service={} time_left_ms={} advice_ms={}",
+                        ask.demand.id,
+                        ask.service,
+                        latest.saturating_sub(now).as_millis(),
+                        after.as_millis()
+                    );
+                    advice(after)
+                })?);
+            }
+            Some(turn) if is_hopeless(node, turn, now) => {
+                log::info!(
+                    "place: event=queue_late id={} service={} waited_ms={} time_left_ms={}",
+                    ask.demand.id,
+                    ask.service,
+                    now.saturating_sub(ask.arrived).as_millis(),
+                    latest.saturating_sub(now).as_millis()
+                );
+                let waiting = node.waiting.borrow();
+                let after = waiting.get(&ask.service).map(|it| it.queue.retry_after());
+                return Err(advice(after.unwrap_or(CROWDED_ADVICE)));
+            }
+            Some(_) => {}
         }
-        for (endpoint, load) in loads {
-            self.sites.entry(endpoint).or_default().peers.add(load);
+        if let Some(turn) = &turn {
+            let left = latest.saturating_sub(clock::now());
+            // A wake-up and the end of the time both lead to a new decision.
+            let _ = tokio::time::timeout(left, turn.notify.notified()).await;
         }
     }
+}
 
-    /// Gives what this node has under way, for its peers.
-    pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, Load)> {
-        self.sites.iter().filter(|(_, site)| site.own.requests > 0).map(|(id, site)| (id, site.own))
+fn is_next(node: &Node, ask: &Ask, turn: Option<&Turn>) -> bool {
+    let waiting = node.waiting.borrow();
+    let Some(waiting) = waiting.get(&ask.service) else { return true };
+    match turn {
+        None => waiting.queue.is_first(ask.priority),
+        Some(turn) => waiting.queue.ranks().next() == Some(turn.rank),
     }
+}
 
-    /// Gives what all nodes have under way on an endpoint.
-    pub fn total(&self, endpoint: &str) -> Load {
-        let mut load = Load::default();
-        if let Some(site) = self.sites.get(endpoint) {
-            load.add(site.own);
-            load.add(site.peers);
-        }
-        load
-    }
+fn is_hopeless(node: &Node, turn: &Turn, now: Duration) -> bool {
+    let waiting = node.waiting.borrow();
+    waiting.get(&turn.service).is_none_or(|it| it.queue.hopeless(now).contains(&turn.rank))
+}
 
-    /// Forgets an endpoint that is gone or started anew.
-    pub fn forget_cache(&mut self, endpoint: &str) {
-        if let Some(site) = self.sites.get_mut(endpoint) {
-            site.cache = Cache::default();
+fn join(node: &Rc<Node>, ask: &Ask, latest: Duration, now: Duration) -> Result<Turn, Duration> {
+    let mut all = node.waiting.borrow_mut();
+    let waiting = all.entry(ask.service.clone()).or_default();
+    let rank = waiting.queue.join(ask.priority, latest, now)?;
+    let notify = Rc::new(Notify::new());
+    waiting.turns.insert(rank.serial, notify.clone());
+    // An urgent request may leave too little time to those behind it.
+    for rank in waiting.queue.hopeless(now) {
+        if let Some(turn) = waiting.turns.get(&rank.serial) {
+            turn.notify_one();
         }
     }
-
-    /// Drops the estimates of endpoints that are gone and have nothing under way.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.sites.retain(|id, site| site.own.requests > 0 || keep(id));
-    }
+    let service = ask.service.clone();
+    Ok(Turn { node: node.clone(), service, rank, notify })
 }
 
-fn job_load(job: Job<'_>, site: &Site, home: Option<usize>, now: Duration) -> Load {
-    let Some(prompt) = job.prompt else {
-        return Load { requests: 1, ..Load::default() };
-    };
-    // A part is of use only if all parts before it are kept too.
-    let held = prompt.parts.iter().take_while(|part| site.cache.holds(part.hash, now));
-    let held: u32 = held.map(|part| part.tokens).sum();
-    let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
-    let shared: u32 = shared.iter().map(|part| part.tokens).sum();
-    let believed = home.map_or(0.0, |rank| f64::from(shared) * HOME_SHARES[rank]) as u32;
-    let kept = held.max(believed);
-    Load {
-        requests: 1,
-        unread_tokens: prompt.prompt_tokens.saturating_sub(kept),
-        memory_tokens: prompt.prompt_tokens.saturating_add(prompt.max_output_tokens),
+/// Finds an endpoint with room now, without waiting for one.
+pub fn now(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Option<Placed> {
+    match choose(node, ask, tried, ask.until, clock::now()) {
+        Chosen::Endpoint(placed) => Some(placed),
+        Chosen::Late(_) | Chosen::Full | Chosen::NoEndpoint => None,
     }
 }
 
-fn has_room(
-    site: &Site,
-    load: Load,
-    endpoint: &Endpoint,
-    engine: Option<&catalog::Engine>,
-) -> bool {
-    let mut total = site.own;
-    total.add(site.peers);
-    let slots = f64::from(endpoint.slots);
-    let Some(engine) = engine else { return f64::from(total.requests) < slots };
-    let limit = engine.memory_tokens as f64 * MEMORY_SHARE;
-    let memory = f64::from(total.memory_tokens) + f64::from(load.memory_tokens);
-    total.requests == 0 || f64::from(total.requests) < slots * SLOT_SHARE && memory < limit
-}
-
-/// Predicts the time to the first byte at the usual pace and speed.
-fn predict(
-    site: &Site,
-    load: Load,
-    endpoint: &Endpoint,
-    engine: Option<&catalog::Engine>,
-) -> Duration {
-    let mut total = site.own;
-    total.add(site.peers);
-    let running = f64::from(total.requests);
-    let ms = if engine.is_some() {
-        let unread = f64::from(total.unread_tokens) + f64::from(load.unread_tokens);
-        FIRST_TOKEN_MS + unread / READ_TOKENS_PER_MS + RUNNING_MS * running
-    } else {
-        10.0 + 30.0 * running / f64::from(endpoint.slots.max(1))
-    };
-    Duration::from_secs_f64(ms / 1_000.0)
+enum Chosen {
+    Endpoint(Placed),
+    /// The answer would begin this much too late at the best of the endpoints.
+    Late(Duration),
+    Full,
+    NoEndpoint,
 }
 
-/// Gives the candidates in an order of the request's own, in which each few hold some of the node's
-/// failure domain and some of the others.
-fn draw<'a>(
-    hash: u64,
-    domain: &str,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-) -> Vec<Candidate<'a>> {
-    let mut keyed: Vec<_> = candidates
-        .map(|candidate| {
-            let key = xxh3::xxh3_64_with_seed(candidate.endpoint.id.as_bytes(), hash);
-            (key, candidate)
-        })
-        .collect();
-    keyed.sort_unstable_by_key(|(key, _)| *key);
-    let (near, far): (Vec<_>, Vec<_>) = keyed
-        .into_iter()
-        .map(|(_, candidate)| candidate)
-        .partition(|candidate| *candidate.endpoint.domain == *domain);
-    let (mut near, mut far) = (near.into_iter(), far.into_iter());
-    let next = |place: usize| {
-        let takes_far = place % FAR_EVERY == FAR_EVERY - 1;
-        if takes_far {
-            far.next().or_else(|| near.next())
-        } else {
-            near.next().or_else(|| far.next())
-        }
+fn choose(
+    node: &Rc<Node>,
+    ask: &Ask,
+    tried: &[Arc<str>],
+    latest: Duration,
+    now: Duration,
+) -> Chosen {
+    let catalog = node.catalog();
+    let engine = catalog.as_ref().and_then(|it| it.services.get(&ask.service)?.engine);
+    let roster = node.roster.borrow();
+    let version = node.shifts.borrow().version(&ask.service, ask.hash);
+    let fits = |entry: &&roster::Entry| {
+        !tried.contains(&entry.endpoint.id)
+            && version.as_ref().is_none_or(|version| version.admits(&entry.endpoint.version))
     };
-    (0..).map_while(next).collect()
-}
-
-/// Gives the first and the second home of the shared parts of a prompt.
-///
-/// All nodes compute the same homes by rendezvous hashing, so they agree without a message, and when
-/// an endpoint goes only its own parts find new homes.
-fn homes<'a>(
-    job: Job<'_>,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-) -> [Option<&'a str>; 2] {
-    let part = job.prompt.and_then(|prompt| {
-        let count = prompt.parts.len();
-        prompt.parts.get(count.checked_sub(2)?)
-    });
-    let Some(part) = part else { return [None; 2] };
-    let mut first: Option<(u64, &str)> = None;
-    let mut second: Option<(u64, &str)> = None;
-    for candidate in candidates {
-        let id: &str = &candidate.endpoint.id;
-        let entry = Some((xxh3::xxh3_64_with_seed(id.as_bytes(), part.hash), id));
-        if entry > first {
-            second = first;
-            first = entry;
-        } else if entry > second {
-            second = entry;
-        }
+    let mut entries: SmallVec<[_; 32]> =
+        roster.of(&ask.service).filter(fits).filter(|entry| entry.is_usable(now)).collect();
+    if entries.is_empty() {
+        // Endpoints that seem to fail are still better than none.
+        entries = roster.of(&ask.service).filter(fits).filter(|entry| entry.is_listed()).collect();
+    }
+    if entries.is_empty() && version.is_some_and(|version| version.allows_other()) {
+        let others = roster.of(&ask.service).filter(|entry| !tried.contains(&entry.endpoint.id));
+        entries = others.filter(|entry| entry.is_listed()).collect();
     }
-    [first, second].map(|home| home.map(|(_, id)| id))
+    if entries.is_empty() {
+        return Chosen::NoEndpoint;
+    }
+    let job = Job { prompt: ask.demand.prompt.as_ref(), hash: ask.hash, latest };
+    let candidates = entries
+        .iter()
+        .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
+    let domain = &node.settings.failure_domain;
+    let mut board = node.board.borrow_mut();
+    let choice = match board.choose(job, domain, candidates, engine.as_ref(), now) {
+        Ok(choice) => choice,
+        Err(Lack::Time(late)) => return Chosen::Late(late),
+        Err(Lack::Room) => return Chosen::Full,
+    };
+    board.begin(&choice, job.prompt, now);
+    let Choice { endpoint, load, usual, predicted } = choice;
+    let Some(entry) = roster.get(&endpoint) else { return Chosen::NoEndpoint };
+    let endpoint = entry.endpoint.clone();
+    Chosen::Endpoint(Placed { node: node.clone(), endpoint, load, usual, predicted, began: now })
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -16,6 +16,7 @@
 use crate::gateway::handle::{Active, Ask};
 use crate::gateway::handover::{self, Moved};
 use crate::gateway::node::Node;
+use crate::gateway::place;
 use crate::gateway::relay::{Body, Broken};
 
 /// Time that the last events of a stopped stream have to arrive.
@@ -290,7 +291,7 @@
             note_cut(ask, &endpoint, "no attempt, time or budget is left");
             return None;
         }
-        let placed = match forward::place(node, ask, &history.tried).await {
+        let placed = match place::wait(node, ask, &history.tried).await {
             Ok(placed) => placed,
             Err((cause, _)) => {
                 note_cut(ask, &endpoint, cause.name());
--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pomelolink::gateway::board::{Board, Candidate, Choice, Job};
 use pomelolink::gateway::catalog::Engine;
 use pomelolink::gateway::peers;
-use pomelolink::gateway::place::{Board, Candidate, Choice, Job};
 use pomelolink::gateway::platform::{Endpoint, Part, Prompt};
 use pomelolink::gateway::roster::Health;
 use rand::rngs::SmallRng;
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pomelolink::gateway::board::{Board, Candidate, Job, Lack, Load};
 use pomelolink::gateway::catalog::Engine;
-use pomelolink::gateway::place::{Board, Candidate, Job, Lack, Load};
 use pomelolink::gateway::platform::{Endpoint, Part, Prompt};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
