Try waiting requests again when peers tell of room

Cause: a node that waits for room tried again when a request of its own ended or a list of endpoints came, not when peers told that theirs had ended; while the store is silent it waited until its target was missed. The new test fails without the change (the answer ends after 1.49 s, 1.48 s is the bound) and takes 0.8 s or so less with it.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -291,6 +291,8 @@
     send_all(&beat, peers.addresses(now), socket);
     node.quotas.borrow_mut().set_share(peers.share(now));
     node.board.borrow_mut().set_peers(peers.loads(now).into_iter());
+    // Requests may wait for room that only peers had taken.
+    node.wake_all();
     if let Some(correction) = peers.clock_correction_ms(now) {
         node.epoch_ms.set(node.epoch_ms.get() + correction);
         log::warn!("peers: event=clock_corrected by_ms={correction}");
