Tell peers of endpoints that leave or are new, and read the list less often

Change: what a node reads of endpoints that matters is told with the next datagrams, with the version of the list; peers take what is newer than what they have read. The pause between two reads is half the drain bound where three peers are heard (1.0 s and 1.5 s), otherwise 0.3 of it (0.6 s and 0.9 s).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod link;
 mod metrics;
 mod node;
+pub mod notice;
 pub mod peers;
 mod place;
 pub mod platform;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
+use crate::gateway::notice::Notice;
 use crate::gateway::platform::{Change, Declaration, Follow};
 use crate::platform::Failure;
 
@@ -17,9 +18,12 @@
 /// Time for which the store may hold a call on endpoints. It is short, so that a call that is lost
 /// is repeated well within the drain bound.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(300);
-/// Pause between two reads of endpoints: their regular reports change the list all the time, and
-/// a leaving endpoint has to be known well within the drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two reads of endpoints, as a part of the drain bound: their regular reports change
+/// the list all the time, and a leaving endpoint has to be known well within the bound.
+const PAUSE_PART: f64 = 0.3;
+/// The same where at least `TELLERS` nodes are heard, which read at other times and tell of it.
+const TOLD_PAUSE_PART: f64 = 0.5;
+const TELLERS: usize = 3;
 /// First and longest pause after a failed call; it doubles from one to the other.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -108,9 +112,12 @@
                 note_connection(&mut connected, true, "endpoints", "");
                 pause = RETRY_PAUSE;
                 after = Some(batch.version);
-                apply(&node, batch.changes, batch.complete);
+                let complete = batch.complete;
+                let changes = node.notices.borrow_mut().read(batch);
+                publish(&node, &changes);
+                apply(&node, changes, complete);
                 node.listed.set(Some(sent));
-                tokio::time::sleep(ENDPOINT_PAUSE).await;
+                tokio::time::sleep(endpoint_pause(&node)).await;
             }
             Err(failure) => {
                 note_connection(&mut connected, false, "endpoints", &failure.to_string());
@@ -126,6 +133,37 @@
     }
 }
 
+fn endpoint_pause(node: &Node) -> Duration {
+    let peers = node.peers.borrow().count(clock::now()) - 1;
+    let part = if peers >= TELLERS { TOLD_PAUSE_PART } else { PAUSE_PART };
+    node.settings.bounds.drain.mul_f64(part)
+}
+
+/// Tells the peers of changes that matter to them; regular reports change nothing.
+fn publish(node: &Node, changes: &[Change]) {
+    let now = clock::now();
+    let roster = node.roster.borrow();
+    let matters = |change: &&Change| match (change, roster.get(change.id())) {
+        (Change::Seen(endpoint), Some(known)) => known.endpoint != *endpoint,
+        (Change::Seen(_), None) => true,
+        (Change::Gone(_), known) => known.is_some(),
+    };
+    for change in changes.iter().filter(matters) {
+        node.notices.borrow_mut().publish(change.clone(), now);
+    }
+}
+
+/// Takes what a peer has read of endpoints.
+pub fn hear(node: &Rc<Node>, peer: &str, notices: Vec<Notice>) {
+    let mut known = node.notices.borrow_mut();
+    let changes: Vec<_> = notices.into_iter().filter_map(|notice| known.hear(notice)).collect();
+    drop(known);
+    if !changes.is_empty() {
+        log::debug!("follow: event=endpoints_told peer={peer} changes={}", changes.len());
+        apply(node, changes, false);
+    }
+}
+
 fn apply(node: &Rc<Node>, changes: Vec<Change>, complete: bool) {
     let now = clock::now();
     let drain = node.settings.bounds.drain;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -14,6 +14,7 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::demand::Demand;
 use crate::gateway::link::Links;
+use crate::gateway::notice::Notices;
 use crate::gateway::peers::Peers;
 use crate::gateway::platform::{Dialect, Platform};
 use crate::gateway::queue::{Queue, Rank};
@@ -89,6 +90,7 @@
     /// Time before the last successful read of the declarations was sent.
     pub confirmed: Cell<Option<Duration>>,
     pub roster: RefCell<Roster>,
+    pub notices: RefCell<Notices>,
     /// Time before the last successful read of the list of endpoints was sent.
     pub listed: Cell<Option<Duration>>,
     pub board: RefCell<Board>,
@@ -139,6 +141,7 @@
             catalog: RefCell::default(),
             confirmed: Cell::default(),
             roster: RefCell::default(),
+            notices: RefCell::default(),
             listed: Cell::default(),
             board: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota_window, settings.first_start)),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,7 +14,9 @@
 
 use crate::gateway::board::Load;
 use crate::gateway::clock;
+use crate::gateway::follow;
 use crate::gateway::node::Node;
+use crate::gateway::notice::Notice;
 use crate::gateway::platform::Rows;
 use crate::platform::{Outcome, Transaction};
 
@@ -43,7 +45,7 @@
 /// Starts the keys of the rows that list the nodes.
 pub const ROW_PREFIX: &str = "node/";
 /// Differs between versions of the datagram that don't understand each other.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 3;
 /// Marks the datagrams that tell only what was admitted.
 const NEWS_FORMAT: u8 = 2;
 
@@ -69,6 +71,8 @@
     pub loads: Vec<(Arc<str>, Load)>,
     /// Prompt tokens asked for since the start of the node, by service.
     pub demand: Vec<(Arc<str>, u64)>,
+    /// Changes of endpoints that the node has just read.
+    pub endpoints: Vec<Notice>,
     /// Good and bad answers of the versions in a roll-out.
     pub tallies: Vec<crate::gateway::shift::Told>,
 }
@@ -276,6 +280,7 @@
         usage,
         loads,
         demand,
+        endpoints: node.notices.borrow_mut().recent(now),
         tallies: node.shifts.borrow().told(now),
     }
 }
@@ -355,6 +360,9 @@
         node.demand.borrow_mut().hear(&beat.node, beat.start, service, *total);
     }
     node.shifts.borrow_mut().hear(&beat.node, beat.start, beat.tallies, now);
+    // The changes wake requests, which use the same state.
+    drop((quotas, usage));
+    follow::hear(node, &beat.node, beat.endpoints);
 }
 
 /// Enters this node into the list in the store, and reads the others from it.
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::gateway::{catalog, metrics};
@@ -48,7 +49,7 @@
 }
 
 /// Describes an endpoint as it registered itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
     pub id: Arc<str>,
     pub service: Arc<str>,
@@ -64,12 +65,22 @@
     pub born_ms: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     Seen(Endpoint),
     Gone(Arc<str>),
 }
 
+impl Change {
+    /// Gives the endpoint's identifier.
+    pub fn id(&self) -> &Arc<str> {
+        match self {
+            Change::Seen(endpoint) => &endpoint.id,
+            Change::Gone(id) => id,
+        }
+    }
+}
+
 /// Proves to the platform who sends an order.
 #[derive(Debug, Clone)]
 pub struct Signature {
