--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use pomelolink::gateway::board::{Board, Candidate, Choice, Job};
-use pomelolink::gateway::catalog::Engine;
+use pomelolink::gateway::catalog::{Engine, Scaling};
+use pomelolink::gateway::fleet::{Planner, View};
 use pomelolink::gateway::peers;
 use pomelolink::gateway::platform::{Endpoint, Part, Prompt};
 use pomelolink::gateway::roster::Health;
@@ -263,3 +264,40 @@
         assert!(many.late_share() <= one.late_share() + 0.05, "seed {seed}");
     }
 }
+
+/// Gives the endpoints that are left of those ordered for a demand when a failure domain is lost.
+fn left_of_order(tokens_per_s: u64) -> usize {
+    let scaling = Scaling {
+        min: 1,
+        max: 30,
+        boot_time: Duration::from_secs(4),
+        reclaimable_price: Some(0.22),
+        domain_prices: DOMAINS.iter().map(|name| (Arc::from(*name), 1.0)).collect(),
+    };
+    let mut planner = Planner::default();
+    let time = |second: u64| Duration::from_secs(100 + second);
+    for second in 0..60 {
+        let mut view = View { asked_tokens: second * tokens_per_s, slots: 32, ..View::default() };
+        view.count("a".into(), true);
+        planner.observe(&"s".into(), &scaling, view, time(second));
+    }
+    let orders = planner.orders(time(60));
+    let kept = orders.iter().filter(|order| order.reclaimable && &*order.domain != "a");
+    kept.map(|order| order.count as usize).sum()
+}
+
+/// Guards against orders that save endpoints at the callers' cost: with a failure domain lost, what was
+/// ordered serves all but two in a hundred on time.
+#[test]
+fn orders_bear_the_loss_of_a_domain() {
+    let tokens_of = |kind: &Kind| f64::from(kind.permille * (kind.shared + kind.own)) / 1_000.0;
+    let tokens_per_s = 340.0 * KINDS.iter().map(tokens_of).sum::<f64>();
+    let left = left_of_order(tokens_per_s as u64);
+    for seed in 0..3 {
+        let outcome = play(36, left, 340.0, seed);
+        println!(
+            "seed {seed}, {left} endpoints for {tokens_per_s:.0} tokens a second: {outcome:?}"
+        );
+        assert!(outcome.late_share() <= 0.02, "seed {seed}");
+    }
+}
