Judge crowding by sums of times, and serve long prompts late

Change: the pace compares sums of times instead of averaging ratios, half of it is forgotten in 5 s instead of 2 s; a request is refused only where its first token takes three times what it would on an idle endpoint.

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -48,11 +48,15 @@
 /// Every so many drawn endpoints one is in another failure domain than the node.
 const FAR_EVERY: usize = 3;
 
-/// Weight of one answer in the pace of a service, its bounds, and the time in which half of it is
-/// forgotten, so that a service from which nothing is heard is tried again.
-const PACE_WEIGHT: f64 = 0.15;
-const PACE_RANGE: (f64, f64) = (1.0, 20.0);
-const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// A request is not refused while its first token comes within this many times the time that it takes on
+/// an idle endpoint.
+const ALONE_FACTOR: u32 = 3;
+/// Weight of one answer in the pace of a service, the most that it may take against its estimate, and
+/// the time in which half of the pace is forgotten, so that a service from which nothing is heard is
+/// tried again.
+const PACE_WEIGHT: f64 = 0.2;
+const PACE_MOST: u32 = 20;
+const PACE_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// Counts what one node has under way on an endpoint.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -109,17 +113,22 @@
     cache: Cache,
 }
 
-/// Time to the first token against the estimate, over all endpoints of a service.
+/// Times to the first token of late, as they were and as estimated, over all endpoints of a service.
+///
+/// Their sums are compared, so that short prompts, of which some take many times their estimate on a
+/// quiet day too, count little.
 #[derive(Debug, Clone, Copy)]
 struct Pace {
-    ratio: f64,
+    took: Duration,
+    usual: Duration,
     since: Duration,
 }
 
 impl Pace {
     fn at(&self, now: Duration) -> f64 {
+        let ratio = self.took.as_secs_f64() / self.usual.as_secs_f64().max(1e-3);
         let age = now.saturating_sub(self.since).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        1.0 + (self.ratio - 1.0) * 0.5_f64.powf(age)
+        1.0 + (ratio - 1.0).max(0.0) * 0.5_f64.powf(age)
     }
 }
 
@@ -226,7 +235,9 @@
         }
         let usual = predict(site, load, endpoint, engine);
         let predicted = usual.mul_f64(candidate.slowness * self.pace(&endpoint.service, now));
-        let late = (now + predicted).saturating_sub(job.latest);
+        // A prompt so long that its target is missed on idle endpoints too is not refused for that.
+        let alone = predict(&idle, load, endpoint, engine) * ALONE_FACTOR;
+        let late = (now + predicted).saturating_sub(job.latest.max(now + alone));
         // An idle endpoint is tried whatever the estimate says, so that a wrong one is corrected.
         let is_idle = site.own.requests + site.peers.requests == 0;
         if engine.is_some() && !late.is_zero() && !is_idle {
@@ -241,11 +252,23 @@
     }
 
     /// Records a time to the first token against that of the usual pace.
-    pub fn record_pace(&mut self, service: &Arc<str>, ratio: f64, now: Duration) {
-        let known = self.pace(service, now);
-        let ratio = known + (ratio.min(PACE_RANGE.1) - known) * PACE_WEIGHT;
-        let pace = Pace { ratio: ratio.max(PACE_RANGE.0), since: now };
-        self.paces.insert(service.clone(), pace);
+    pub fn record_pace(
+        &mut self,
+        service: &Arc<str>,
+        took: Duration,
+        usual: Duration,
+        now: Duration,
+    ) {
+        let (took, usual) = (took.min(usual * PACE_MOST), usual);
+        let pace = self.paces.entry(service.clone()).or_insert(Pace { took, usual, since: now });
+        // What is forgotten by now must not come back with the next answer.
+        let known = pace.at(now);
+        let mix = |old: Duration, new: Duration| {
+            old.mul_f64(1.0 - PACE_WEIGHT) + new.mul_f64(PACE_WEIGHT)
+        };
+        pace.took = mix(pace.usual.mul_f64(known), took);
+        pace.usual = mix(pace.usual, usual);
+        pace.since = now;
     }
 
     /// Counts a request as sent.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -49,7 +49,7 @@
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_speed(ratio / board.pace(&self.endpoint.service, now));
         }
-        board.record_pace(&self.endpoint.service, ratio, now);
+        board.record_pace(&self.endpoint.service, took, self.usual, now);
         drop(board);
         self.note_success();
         self.record_evidence(took <= target);
--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -194,7 +194,8 @@
                     let ratio = took / (choice.usual.as_secs_f64() * 1_000.0);
 
                     health.record_speed(ratio / board.pace("s", time));
-                    board.record_pace(&"s".into(), ratio, time);
+                    let first = Duration::from_secs_f64(took / 1_000.0);
+                    board.record_pace(&"s".into(), first, choice.usual, time);
                     if now > 5_000.0 {
                         outcome.answers += 1;
                         outcome.late += u32::from(took > KINDS[kind].target_ms);
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -153,3 +153,35 @@
     }
     assert!(slow <= 4, "{slow} of 40 prompts went to the slow one of four endpoints");
 }
+
+/// Guards against long prompts that are refused as if the endpoints were crowded: their first token takes
+/// longer than the target on an idle endpoint too.
+#[test]
+fn long_prompts_are_served_late() {
+    let endpoints: Vec<_> = (0..2).map(endpoint).collect();
+    let mut board = Board::default();
+    let busy = Load { requests: 1, unread_tokens: 0, memory_tokens: 1_000 };
+    board.set_peers([("e0".into(), busy), ("e1".into(), busy)].into_iter());
+    let mut prompt = prompt(5, 1);
+    prompt.prompt_tokens = 80_000;
+    let now = Duration::from_secs(100);
+    let job = Job { prompt: Some(&prompt), hash: 3, latest: now + Duration::from_secs(1) };
+    let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
+    let choice = board.choose(job, "a", candidates, Some(&ENGINE), now).expect("an endpoint");
+    assert!(choice.predicted > Duration::from_secs(1), "{choice:?}");
+}
+
+/// Guards against short prompts that count as much as long ones: some take many times their estimate
+/// although the service is at its usual pace.
+#[test]
+fn short_prompts_leave_the_pace() {
+    let mut board = Board::default();
+    let (service, now) = (Arc::from("s"), Duration::from_secs(100));
+    let ms = Duration::from_millis;
+    for index in 0..200 {
+        let took = if index % 10 == 9 { ms(300) } else { ms(30) };
+        board.record_pace(&service, took, ms(30), now);
+        board.record_pace(&service, ms(320), ms(320), now);
+        assert!(board.pace("s", now) < 1.5, "{}", board.pace("s", now));
+    }
+}
