Tell peers the last state of an endpoint that an answer of the store holds

An answer of the store's feed holds every state since the last read, so a new endpoint that leaves soon comes twice in one answer. Both states were told with the version of the answer; peers took the first (it stays) and left out the second (it leaves) as known. Excluded: the longer pause between reads (own reads were in time), old notices (versions were newer). Change: only the last state of an endpoint in an answer is told. last_state_of_an_answer_counts fails without it.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -141,16 +141,13 @@
 
 /// Tells the peers of changes that matter to them; regular reports change nothing.
 fn publish(node: &Node, changes: &[Change]) {
-    let now = clock::now();
     let roster = node.roster.borrow();
-    let matters = |change: &&Change| match (change, roster.get(change.id())) {
+    let matters = |change: &Change| match (change, roster.get(change.id())) {
         (Change::Seen(endpoint), Some(known)) => known.endpoint != *endpoint,
         (Change::Seen(_), None) => true,
         (Change::Gone(_), known) => known.is_some(),
     };
-    for change in changes.iter().filter(matters) {
-        node.notices.borrow_mut().publish(change.clone(), now);
-    }
+    node.notices.borrow_mut().publish(changes, matters, clock::now());
 }
 
 /// Takes what a peer has read of endpoints.
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,7 @@
 //! endpoint leaves, or that there is a new one, tells the others, so that all know it within a tenth of
 //! a second although each of them reads seldom. See "Calls to the store" in `docs/platform.md`.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,9 +57,23 @@
         Some(change)
     }
 
-    /// Remembers a change that this node has read, to tell it.
-    pub fn publish(&mut self, change: Change, now: Duration) {
-        self.recent.push_back((now, Notice { version: self.version, change }));
+    /// Remembers those of the changes that this node has read which matter, to tell them.
+    ///
+    /// The store gives each change since the last read, so that one answer can hold several states of an
+    /// endpoint; only the last is told, since a version stands for one state.
+    pub fn publish(
+        &mut self,
+        changes: &[Change],
+        matters: impl Fn(&Change) -> bool,
+        now: Duration,
+    ) {
+        let mut ids = HashSet::new();
+        for change in changes.iter().rev() {
+            if ids.insert(change.id()) && matters(change) {
+                let notice = Notice { version: self.version, change: change.clone() };
+                self.recent.push_back((now, notice));
+            }
+        }
     }
 
     /// Gives what is to be told now.
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -62,7 +62,7 @@
 fn notices_age() {
     let mut notices = Notices::default();
     notices.read(batch(10, vec![]));
-    notices.publish(endpoint(true), NOW);
+    notices.publish(&[endpoint(true)], |_| true, NOW);
     let told = notices.recent(NOW + Duration::from_millis(300));
     let Change::Seen(endpoint) = &told[0].change else { panic!("{told:?}") };
     assert_eq!((told[0].version, endpoint.leaves_in), (10, Some(Duration::from_millis(1_700))));
@@ -78,3 +78,15 @@
     let whole = Batch { changes: vec![endpoint(false)], version: 12, complete: true };
     assert_eq!(notices.read(whole), vec![endpoint(false)]);
 }
+
+/// Guards against a leaving endpoint that peers take for one that stays: an answer of the store holds both
+/// states, of one version, and peers took the first (DRAIN on scale-2 of jernhjem-fleet-grown).
+#[test]
+fn last_state_of_an_answer_counts() {
+    let (mut reader, mut peer) = (Notices::default(), Notices::default());
+    let changes = reader.read(batch(10, vec![endpoint(false), endpoint(true)]));
+    reader.publish(&changes, |_| true, NOW);
+    let told = reader.recent(NOW);
+    let taken: Vec<_> = told.into_iter().filter_map(|notice| peer.hear(notice)).collect();
+    assert_eq!(taken, vec![endpoint(true)]);
+}
