Begin at the usual pace after a start

Cause: the first answer of a service set its pace alone; a node whose first answer took five times its estimate refused requests of crowded endpoints as if all were that slow. Found by reading. The new test fails without the change (pace 5).

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -259,8 +259,9 @@
         usual: Duration,
         now: Duration,
     ) {
-        let (took, usual) = (took.min(usual * PACE_MOST), usual);
-        let pace = self.paces.entry(service.clone()).or_insert(Pace { took, usual, since: now });
+        let took = took.min(usual * PACE_MOST);
+        let unknown = Pace { took: usual, usual, since: now };
+        let pace = self.paces.entry(service.clone()).or_insert(unknown);
         // What is forgotten by now must not come back with the next answer.
         let known = pace.at(now);
         let mix = |old: Duration, new: Duration| {
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -185,3 +185,13 @@
         assert!(board.pace("s", now) < 1.5, "{}", board.pace("s", now));
     }
 }
+
+/// Guards against a node that refuses requests after its start because its first answer was slow.
+#[test]
+fn one_answer_makes_no_pace() {
+    let mut board = Board::default();
+    let (service, now) = (Arc::from("s"), Duration::from_secs(100));
+    let (usual, slow) = (Duration::from_millis(30), Duration::from_millis(150));
+    board.record_pace(&service, slow, usual, now);
+    assert!(board.pace("s", now) < 2.0, "{}", board.pace("s", now));
+}
