--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -106,7 +106,7 @@
             Attempt::Answer(response) => {
                 if response.status().is_server_error()
                     && ask.route.is_repeatable()
-                    && let Some(other) = place::now(&node, &ask, &history.tried)
+                    && let Some(other) = place::at_once(&node, &ask, &history.tried)
                     && may_repeat(&node, &ask, &mut history, &endpoint, "endpoint_error")
                 {
                     next = Some(other);
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -45,7 +45,7 @@
     ask: Rc<Ask>,
     from: crate::gateway::platform::Endpoint,
 ) -> Option<Moved> {
-    let placed = place::now(&node, &ask, std::slice::from_ref(&from.id))?;
+    let placed = place::at_once(&node, &ask, std::slice::from_ref(&from.id))?;
     let began = clock::now();
     let transfer = Transfer {
         id: ask.demand.id.clone(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -225,7 +225,7 @@
 }
 
 /// Finds an endpoint with room now, without waiting for one.
-pub fn now(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Option<Placed> {
+pub fn at_once(node: &Rc<Node>, ask: &Ask, tried: &[Arc<str>]) -> Option<Placed> {
     match choose(node, ask, tried, ask.until, clock::now()) {
         Chosen::Endpoint(placed) => Some(placed),
         Chosen::Late(_) | Chosen::Full | Chosen::NoEndpoint => None,
