Order endpoints for the tokens that engines prefill

Endpoints were ordered for all prompt tokens at a rate fixed for one deployment, although most shared parts are cached and engines differ. Change: demand counts a fifth of the shared tokens, the prefill rate is learned from the time to the first event, a leaving endpoint leads to an order at once, and in a wave of reclaims on-demand endpoints are ordered until the loss of one more failure domain leaves four fifths of the endpoints needed. In tests/fleet_orders.rs the rate is set so that an endpoint is planned for 20,000 tokens/s as before; all bounds stand. Both new tests fail with the old policy.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 mod place;
 pub mod platform;
+pub mod prefill;
 mod pump;
 pub mod queue;
 pub mod quota;
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -22,6 +22,7 @@
 
 use crate::gateway::catalog;
 use crate::gateway::platform::{Endpoint, Prompt};
+use crate::gateway::prefill::Prefill;
 
 /// Prefill rate of an engine, in prompt tokens per millisecond, before any slowdown was observed.
 const PREFILL_TOKENS_PER_MS: f64 = 40.0;
@@ -147,6 +148,7 @@
 pub struct Balancer {
     estimates: HashMap<Arc<str>, Estimate>,
     slowdowns: HashMap<Arc<str>, Slowdown>,
+    prefills: HashMap<Arc<str>, Prefill>,
 }
 
 /// A request that needs an endpoint.
@@ -176,6 +178,9 @@
     pub baseline: Duration,
     /// Estimated time to the first event with the current slowdown and slowness.
     pub predicted: Duration,
+    /// Whether the time to the first event shows the prefill rate: no other prefill is known to delay the
+    /// request, and little of its prompt is only assumed to be cached.
+    pub shows_prefill_rate: bool,
 }
 
 /// Reason why no endpoint is chosen.
@@ -261,7 +266,16 @@
         if engine.is_some() && !late.is_zero() && !is_idle {
             return Err(Overload::Late(late));
         }
-        Ok(Choice { endpoint: endpoint.id.clone(), load, baseline, predicted })
+        let is_uncontended = estimate.own.unread_tokens + estimate.peers.unread_tokens == 0
+            && (estimate.own.requests + estimate.peers.requests) * 4 < endpoint.slots;
+        let shared = job.prompt.map_or(0, Prompt::shared_tokens);
+        Ok(Choice {
+            endpoint: endpoint.id.clone(),
+            load,
+            baseline,
+            predicted,
+            shows_prefill_rate: is_uncontended && shared * 2 <= load.unread_tokens,
+        })
     }
 
     /// Returns the observed time to the first event relative to the baseline, over all endpoints of a
@@ -270,6 +284,16 @@
         self.slowdowns.get(service).map_or(1.0, |slowdown| slowdown.ratio_at(now))
     }
 
+    /// Records the time to the first event of a request whose choice shows the prefill rate.
+    pub fn record_prefill(&mut self, service: &Arc<str>, tokens: u32, observed: Duration) {
+        self.prefills.entry(service.clone()).or_default().record(tokens, observed);
+    }
+
+    /// Returns the learned prefill rate of a service's engines, in prompt tokens per millisecond.
+    pub fn prefill_tokens_per_ms(&self, service: &str) -> f64 {
+        self.prefills.get(service).cloned().unwrap_or_default().tokens_per_ms()
+    }
+
     /// Records an observed time to the first event and its baseline.
     pub fn record_slowdown(
         &mut self,
@@ -364,10 +388,8 @@
     // A cached part can be reused only if all parts before it are cached too.
     let confirmed = prompt.parts.iter().take_while(|part| estimate.cache.contains(part.hash, now));
     let confirmed: u32 = confirmed.map(|part| part.tokens).sum();
-    let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
-    let shared: u32 = shared.iter().map(|part| part.tokens).sum();
-    let assumed =
-        affinity.map_or(0.0, |rank| f64::from(shared) * AFFINITY_CACHED_SHARES[rank]) as u32;
+    let shared = f64::from(prompt.shared_tokens());
+    let assumed = affinity.map_or(0.0, |rank| shared * AFFINITY_CACHED_SHARES[rank]) as u32;
     let cached = confirmed.max(assumed);
     Load {
         requests: 1,
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -1,12 +1,24 @@
-//! Prompt tokens that callers have requested, by service, summed over all nodes.
+//! Prompt tokens that engines have to prefill for callers' requests, by service, summed over all nodes.
 //!
 //! The number of requests in flight doesn't measure demand, as it also grows when endpoints are slow.
-//! The rate of arrival doesn't depend on the endpoints.
+//! The rate of arrival doesn't depend on the endpoints. Shared prompt parts are mostly cached, so they
+//! cause little work: endpoints ordered for all prompt tokens would be idle most of the time.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Counters of requested prompt tokens by service.
+use crate::gateway::platform::Prompt;
+
+/// Share of the tokens of shared prompt parts that are cached where the balancer sends the request.
+const SHARED_CACHED_SHARE: f64 = 0.8;
+
+/// Returns the expected number of tokens of a prompt that an engine has to prefill.
+pub fn prefill_tokens(prompt: &Prompt) -> u32 {
+    let cached = f64::from(prompt.shared_tokens()) * SHARED_CACHED_SHARE;
+    prompt.prompt_tokens.saturating_sub(cached as u32)
+}
+
+/// Counters of prompt tokens to prefill, by service.
 #[derive(Debug, Default)]
 pub struct Demand {
     /// Tokens requested at this node.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -36,8 +36,11 @@
 const USAGE_KEY_PREFIX: &str = "usage/";
 /// Number of usage windows whose rows are kept in the store.
 const KEPT_WINDOWS: u64 = 12;
-/// Interval between two decisions on the number of endpoints.
-const ORDER_PERIOD: Duration = Duration::from_millis(1_000);
+/// Longest interval between two decisions on the number of endpoints.
+const ORDER_PERIOD: Duration = Duration::from_millis(900);
+/// Delay of a decision after an endpoint has announced that it leaves; the others of its failure domain
+/// follow within this time.
+const DEPARTURE_DELAY: Duration = Duration::from_millis(100);
 
 type Counts = Vec<(Arc<str>, u64)>;
 
@@ -280,8 +283,12 @@
 /// Orders endpoints to match the demand.
 async fn order_endpoints(context: Rc<DutyContext>) {
     let mut planner = fleet::Planner::default();
+    let mut departures = context.node.departures.subscribe();
     loop {
-        tokio::time::sleep(ORDER_PERIOD).await;
+        // A reclaim leaves less time than a replacement takes to start, so it isn't ordered later than
+        // necessary. Either way the endpoints are counted anew.
+        let _ = tokio::time::timeout(ORDER_PERIOD, departures.changed()).await;
+        tokio::time::sleep(DEPARTURE_DELAY).await;
         let node = &context.node;
         if !node.settings.duties.capacity {
             return;
@@ -337,6 +344,7 @@
         let Some(scaling) = &service.scaling else { continue };
         let mut snapshot = fleet::Snapshot {
             requested_tokens: node.demand.borrow().total(&service.name),
+            prefill_tokens_per_s: balancer.prefill_tokens_per_ms(&service.name) * 1_000.0,
             slots: service.engine.map_or(1, |engine| engine.slots),
             ..fleet::Snapshot::default()
         };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -12,10 +12,9 @@
 
 use crate::gateway::catalog::Scaling;
 
-/// Prompt tokens per second planned for one endpoint: a third of the prefill rate of the users'
-/// engines (61 and 66 tokens per millisecond), so that first tokens stay on time in a burst or
-/// after the loss of a failure domain.
-const TOKENS_PER_S_PER_ENDPOINT: f64 = 20_000.0;
+/// Share of the time in which an endpoint prefills prompts when all endpoints needed are running, so
+/// that first tokens stay on time in a burst.
+const PREFILL_SHARE: f64 = 0.42;
 /// Target share of an endpoint's slots that active requests occupy.
 const SLOT_SHARE: f64 = 0.5;
 /// Time constant of the moving average of the demand.
@@ -35,14 +34,19 @@
 /// Reclaimable endpoints ordered per endpoint needed. If one of four failure domains is lost,
 /// enough remain until replacements have started; see `tests/crowded_endpoints.rs`.
 const RECLAIMABLE_FACTOR: f64 = 1.4;
+/// Share of the endpoints needed that has to be left, during a wave of reclaims, after the loss of one
+/// more failure domain.
+const AFTER_LOSS_SHARE: f64 = 0.8;
 
 /// The demand and the endpoints of a service at one time.
 #[derive(Debug, Default, Clone)]
 pub struct Snapshot {
     /// Requests that all nodes have sent to the endpoints and that run or wait there.
     pub requests: u32,
-    /// Total prompt tokens of all requests received so far; never decreases.
+    /// Total prompt tokens to prefill of all requests received so far; never decreases.
     pub requested_tokens: u64,
+    /// Prompt tokens that one endpoint can prefill per second.
+    pub prefill_tokens_per_s: f64,
     /// Requests that one endpoint can run concurrently.
     pub slots: u32,
     /// Number of endpoints that are not leaving, by failure domain and whether they are
@@ -132,7 +136,8 @@
             self.mean_tokens_per_s += (requested / elapsed - self.mean_tokens_per_s) * weight;
             self.mean_requests += (f64::from(snapshot.requests) - self.mean_requests) * weight;
         }
-        let for_tokens = self.mean_tokens_per_s / TOKENS_PER_S_PER_ENDPOINT;
+        let planned = (snapshot.prefill_tokens_per_s * PREFILL_SHARE).max(1.0);
+        let for_tokens = self.mean_tokens_per_s / planned;
         let for_requests = self.mean_requests / (f64::from(snapshot.slots.max(1)) * SLOT_SHARE);
         self.peak_endpoints = (self.peak_endpoints * decay).max(for_tokens).max(for_requests);
         if now.saturating_sub(self.first_observed) < REGISTRATION_TIME {
@@ -176,17 +181,56 @@
             self.spread_evenly((f64::from(needed) * RECLAIMABLE_FACTOR).ceil() as u32);
         let mut targets: Vec<_> =
             reclaimable_counts.into_iter().map(|(domain, count)| (domain, true, count)).collect();
-        for (domain, wanted) in self.spread_evenly(needed) {
-            let missing = wanted.saturating_sub(self.snapshot.running(&domain, true));
+        for (domain, wanted) in self.on_demand(needed) {
             let on_demand = self.snapshot.running(&domain, false);
             // One surplus on-demand endpoint is kept, so that small changes of the demand don't
             // stop and restart it.
-            let keeps_surplus = missing > 0 && on_demand > missing && on_demand - missing < 2;
-            targets.push((domain, false, if keeps_surplus { on_demand } else { missing }));
+            let keeps_surplus = wanted > 0 && on_demand > wanted && on_demand - wanted < 2;
+            targets.push((domain, false, if keeps_surplus { on_demand } else { wanted }));
         }
         targets
     }
 
+    /// Returns the number of on-demand endpoints for each failure domain: those that replace missing
+    /// reclaimable ones, and more while the loss of one more domain would leave too few.
+    ///
+    /// Reclaims come in waves. The reclaimable endpoints that are left after the first one are likely
+    /// to go next, within less time than a replacement takes to start.
+    fn on_demand(&self, needed: u32) -> Vec<(Arc<str>, u32)> {
+        let spread = self.spread_evenly(needed);
+        let running = |domain: &Arc<str>| self.snapshot.running(domain, true);
+        let mut counts: Vec<_> = spread
+            .into_iter()
+            .map(|(domain, wanted)| {
+                let missing = wanted.saturating_sub(running(&domain));
+                (domain, missing)
+            })
+            .collect();
+        let missing: u32 = counts.iter().map(|(_, count)| count).sum();
+        if missing == 0 {
+            return counts;
+        }
+        let reclaimable = || counts.iter().map(|(domain, _)| running(domain));
+        let left = reclaimable().sum::<u32>() - reclaimable().max().unwrap_or(0);
+        let required = (f64::from(needed) * AFTER_LOSS_SHARE).ceil() as u32;
+        let mut extra = required.saturating_sub(left + missing);
+        // The domains with the fewest reclaimable endpoints have the fewest to lose.
+        counts.sort_by_key(|(domain, _)| running(domain));
+        while extra > 0 {
+            let before = extra;
+            for (_, count) in counts.iter_mut().filter(|(_, count)| *count < self.scaling.max) {
+                if extra > 0 {
+                    *count += 1;
+                    extra -= 1;
+                }
+            }
+            if extra == before {
+                break;
+            }
+        }
+        counts
+    }
+
     /// Returns the count to order, adjusted for a roll-out, in which the platform starts and stops
     /// the endpoints of a version itself.
     ///
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::pool::{Failure, Guard};
 use crate::gateway::catalog::Kind;
 use crate::gateway::clock;
+use crate::gateway::demand;
 use crate::gateway::handle::{self, Active, Context, Refusal};
 use crate::gateway::node::Node;
 use crate::gateway::place::{self, Placement};
@@ -87,7 +88,8 @@
 pub async fn run(node: Rc<Node>, context: Context, active: Active) -> Response<Body> {
     node.budget.borrow_mut().record_request(&context.service, clock::now());
     if let Some(prompt) = &context.metadata.prompt {
-        node.demand.borrow_mut().record(&context.service, prompt.prompt_tokens);
+        let tokens = demand::prefill_tokens(prompt);
+        node.demand.borrow_mut().record(&context.service, tokens);
     }
     let mut history = History::default();
     let mut next = None;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -38,6 +38,8 @@
     /// Estimated time to the first event with the current slowdown and slowness.
     pub predicted: Duration,
     pub began: Duration,
+    /// Whether the time to the first event shows the prefill rate.
+    shows_prefill_rate: bool,
 }
 
 impl Placement {
@@ -47,6 +49,9 @@
         let elapsed = now.saturating_sub(self.began);
         let ratio = elapsed.as_secs_f64() / self.baseline.as_secs_f64().max(MIN_BASELINE_S);
         let mut balancer = self.node.balancer.borrow_mut();
+        if self.shows_prefill_rate {
+            balancer.record_prefill(&self.endpoint.service, self.load.unread_tokens, elapsed);
+        }
         balancer.record_first_event(&self.endpoint.id, &mut self.load);
         if let Some(health) = self.node.roster.borrow_mut().health(&self.endpoint.id) {
             health.record_slowness(ratio / balancer.service_slowdown(&self.endpoint.service, now));
@@ -319,7 +324,7 @@
         Err(Overload::Full) => return Selection::Full,
     };
     balancer.start_request(&choice, job.prompt, now);
-    let Choice { endpoint, load, baseline, predicted } = choice;
+    let Choice { endpoint, load, baseline, predicted, shows_prefill_rate } = choice;
     let Some(entry) = roster.get(&endpoint) else { return Selection::NoEndpoint };
     let endpoint = entry.endpoint.clone();
     Selection::Endpoint(Placement {
@@ -329,5 +334,6 @@
         baseline,
         predicted,
         began: now,
+        shows_prefill_rate,
     })
 }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -207,6 +207,14 @@
     pub parts: SmallVec<[Part; 4]>,
 }
 
+impl Prompt {
+    /// Returns the tokens of the parts that other requests may share: all parts but the last.
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = &self.parts[..self.parts.len().saturating_sub(1)];
+        shared.iter().map(|part| part.tokens).sum()
+    }
+}
+
 /// Values that the gateway reads from a caller's headers.
 #[derive(Debug, Clone, Default)]
 pub struct Metadata {
--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -7,6 +7,7 @@
 
 use pomelolink::gateway::balancer::{Balancer, Candidate, Choice, Job};
 use pomelolink::gateway::catalog::{Engine, Scaling};
+use pomelolink::gateway::demand;
 use pomelolink::gateway::fleet::{Planner, Snapshot};
 use pomelolink::gateway::peers;
 use pomelolink::gateway::platform::{Endpoint, Part, Prompt};
@@ -302,8 +303,12 @@
     let mut planner = Planner::default();
     let time = |second: u64| Duration::from_secs(100 + second);
     for second in 0..60 {
-        let mut snapshot =
-            Snapshot { requested_tokens: second * tokens_per_s, slots: 32, ..Snapshot::default() };
+        let mut snapshot = Snapshot {
+            requested_tokens: second * tokens_per_s,
+            prefill_tokens_per_s: PREFILL_TOKENS_PER_MS * 1_000.0,
+            slots: 32,
+            ..Snapshot::default()
+        };
         snapshot.add_endpoint("a".into(), true);
         planner.observe(&"s".into(), &scaling, snapshot, time(second));
     }
@@ -316,7 +321,15 @@
 /// all but two in a hundred requests on time.
 #[test]
 fn orders_cover_domain_loss() {
-    let tokens_of = |kind: &Kind| f64::from(kind.permille * (kind.prefix + kind.suffix)) / 1_000.0;
+    let tokens_of = |kind: &Kind| {
+        let parts = [kind.prefix, kind.suffix].map(|tokens| Part { hash: 0, tokens });
+        let prompt = Prompt {
+            prompt_tokens: kind.prefix + kind.suffix,
+            max_output_tokens: kind.output,
+            parts: parts.into_iter().collect(),
+        };
+        f64::from(kind.permille * demand::prefill_tokens(&prompt)) / 1_000.0
+    };
     let tokens_per_s = 340.0 * KINDS.iter().map(tokens_of).sum::<f64>();
     let remaining = endpoints_after_domain_loss(tokens_per_s as u64);
     for seed in 0..3 {
--- a/tests/fleet_orders.rs
+++ b/tests/fleet_orders.rs
@@ -5,10 +5,15 @@
 use std::time::Duration;
 
 use pomelolink::gateway::catalog::Scaling;
+use pomelolink::gateway::demand;
 use pomelolink::gateway::fleet::{Planner, Snapshot};
+use pomelolink::gateway::platform::{Part, Prompt};
 
 const DOMAINS: [(&str, f64); 4] = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
 
+/// Prefill rate with which an endpoint is planned for 20,000 tokens per second.
+const PREFILL_TOKENS_PER_S: f64 = 47_620.0;
+
 fn scaling() -> Scaling {
     Scaling {
         min: 1,
@@ -63,6 +68,7 @@
             let snapshot = Snapshot {
                 requests: 60,
                 requested_tokens: self.requested,
+                prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
                 slots: 32,
                 endpoints: self.running.clone(),
                 other_version: None,
@@ -135,6 +141,37 @@
     assert_eq!(simulation.count(false), 0, "{:?}", simulation.running);
 }
 
+/// Guards against a wave of reclaims that leaves too few endpoints: while two of four failure domains are
+/// lost, the loss of a third must leave four fifths of the four endpoints that the demand needs.
+#[test]
+fn reclaim_wave_keeps_reserve() {
+    let mut simulation = Simulation::new();
+    simulation.run(90, 78_000);
+    simulation.reclaim("c");
+    simulation.reclaim("d");
+    simulation.run(6, 78_000);
+    simulation.reclaim("b");
+    let left = simulation.count(true) + simulation.count(false);
+    assert!(left >= 4, "{left} endpoints are left: {:?}", simulation.running);
+}
+
+/// Guards against endpoints for prompt tokens that are cached: prompts that share most of their tokens
+/// need few more endpoints than prompts without the shared part.
+#[test]
+fn cached_tokens_need_few_endpoints() {
+    let endpoints = |parts: &[u32]| {
+        let parts = parts.iter().map(|tokens| Part { hash: 0, tokens: *tokens });
+        let mut prompt = Prompt { parts: parts.collect(), ..Prompt::default() };
+        prompt.prompt_tokens = prompt.parts.iter().map(|part| part.tokens).sum();
+        let mut simulation = Simulation::new();
+        simulation.run(90, 35 * u64::from(demand::prefill_tokens(&prompt)));
+        simulation.count(true) + simulation.count(false)
+    };
+    let (without, with) = (endpoints(&[2_890]), endpoints(&[2_520, 3_780, 2_890]));
+    // A fifth of 6,300 shared tokens is 0.44 of 2,890.
+    assert!(f64::from(with) <= f64::from(without) * 1.7, "{with} endpoints, {without} without");
+}
+
 /// Guards against a new order for every small change of the demand.
 #[test]
 fn steady_demand_orders_little() {
