--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -27,6 +27,11 @@
     peers: HashMap<(Arc<str>, Arc<str>), (u64, u64)>,
     /// Sum of the increases of the peers' totals.
     from_peers: HashMap<Arc<str>, u64>,
+    /// Total last reported for each other failure domain and service, preceded by the start of the node
+    /// that reported it.
+    domains: HashMap<(Arc<str>, Arc<str>), (u64, u64)>,
+    /// Sum of the increases of the other failure domains' totals.
+    from_domains: HashMap<Arc<str>, u64>,
 }
 
 impl Demand {
@@ -45,10 +50,30 @@
         }
     }
 
+    /// Records the total of another failure domain, as the node that started at `start` reports it.
+    pub fn record_domain(&mut self, domain: &Arc<str>, start: u64, service: &Arc<str>, total: u64) {
+        let key = (domain.clone(), service.clone());
+        if let Some((known_start, previous)) = self.domains.insert(key, (start, total))
+            && known_start == start
+        {
+            *self.from_domains.entry(service.clone()).or_default() +=
+                total.saturating_sub(previous);
+        }
+    }
+
     /// Returns the tokens requested at all nodes since this node started; never decreases.
     pub fn total(&self, service: &str) -> u64 {
         let count = |map: &HashMap<Arc<str>, u64>| map.get(service).copied().unwrap_or(0);
-        count(&self.own) + count(&self.from_peers)
+        count(&self.own) + count(&self.from_peers) + count(&self.from_domains)
+    }
+
+    /// Returns the tokens requested at this node and its direct peers since it started, by service.
+    pub fn domain_totals(&self) -> Vec<(Arc<str>, u64)> {
+        let mut totals = self.own.clone();
+        for (service, total) in &self.from_peers {
+            *totals.entry(service.clone()).or_default() += total;
+        }
+        totals.into_iter().collect()
     }
 
     /// Returns the tokens requested at this node, by service.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -28,8 +28,9 @@
 const HOLDER_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Interval at which traffic shares are updated and reports are sent.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
-/// Time after the end of a usage window by which the counts of all peers have arrived.
-const REPORT_DELAY_MS: u64 = 1_200;
+/// Time after the end of a usage window by which the counts of all nodes have arrived: they are sent with
+/// each fifth heartbeat and each fifth digest.
+const REPORT_DELAY_MS: u64 = 2_600;
 /// Age beyond which a usage window is no longer reported.
 const MAX_REPORT_AGE_MS: u64 = 15_000;
 /// Key prefix of the rows that record usage reports.
@@ -92,8 +93,7 @@
         // no longer be reported.
         node.holds_duties.set(context.lease.borrow().grant().is_some());
         let event = match action {
-            // While a peer reports that it holds the lease, the row need not be read.
-            Action::Read if node.peers.borrow().has_live_holder(clock::now()) => {
+            Action::Read if !contends(&context) => {
                 tokio::time::sleep(HOLDER_CHECK_PERIOD).await;
                 continue;
             }
@@ -125,6 +125,15 @@
     }
 }
 
+/// Returns whether this node has to read the lease row: it holds the lease, or no live node does and this
+/// one reads the store for its direct peers. So the calls don't grow with the fleet.
+fn contends(context: &DutyContext) -> bool {
+    let now = clock::now();
+    let peers = context.node.peers.borrow();
+    let is_holder = context.lease.borrow().grant().is_some();
+    is_holder || peers.is_reader(now) && !peers.has_live_holder(now)
+}
+
 async fn update_and_report(context: Rc<DutyContext>) {
     let mut usage_reporter = UsageReporter::default();
     let mut reported: HashMap<(Arc<str>, u64), Phase> = HashMap::new();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,59 +1,167 @@
 //! Watches the operators' declarations and the list of endpoints in the platform's store.
 
+use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
 use crate::gateway::clock;
 use crate::gateway::node::Node;
 use crate::gateway::notice::Notice;
+use crate::gateway::peers::Receipt;
 use crate::gateway::platform::{Change, Declaration, LongPoll};
 use crate::platform::Failure;
 
 /// Longest wait of a long poll for declarations.
-const MAX_DECLARATION_WAIT: Duration = Duration::from_millis(1_000);
+const MAX_DECLARATION_WAIT: Duration = Duration::from_millis(500);
 /// Number of waits of a long poll that fit into the maximum age of API keys. A response confirms the keys
 /// as of the time its call was sent, so the keys are two waits old when the next response is late.
 const WAITS_PER_KEY_AGE: u32 = 4;
-/// Wait of a long poll for endpoints. It is short so that a lost call is repeated well within the drain
-/// bound.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(300);
+/// Age of the declarations from which a node that relies on a peer's reads reads them itself: more than
+/// two waits of the peer.
+const MAX_PEER_READ_AGE: Duration = Duration::from_millis(1_300);
+/// Age of a node's last read from which it reads the whole table, since the store may no longer have the
+/// changes since then.
+const MAX_HISTORY_AGE: Duration = Duration::from_secs(15);
+/// Interval at which a node checks whether it has to read the store itself.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay between reads of endpoints, as a fraction of the drain bound. The regular reports of endpoints
 /// change the list all the time, so each call returns at once, but a leaving endpoint has to be known
 /// well within the bound.
 const READ_DELAY_FRACTION: f64 = 0.3;
-/// Delay between reads of endpoints, as a fraction of the drain bound, while at least `MIN_GOSSIP_PEERS`
-/// peers are alive, which read at other times and gossip what they read.
-const GOSSIP_READ_DELAY_FRACTION: f64 = 0.5;
-const MIN_GOSSIP_PEERS: usize = 3;
+/// Age of the endpoints from which a node that relies on a peer's reads reads them itself, as a fraction
+/// of the drain bound.
+const MAX_PEER_READ_FRACTION: f64 = 0.5;
+/// Age of its own reads up to which a node reports them to its peers.
+const MAX_REPORTED_AGE: Duration = Duration::from_secs(4);
 /// First and longest delay after a failed call; the delay doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// Watches the declarations until the process ends.
+/// Newest declarations that this node knows and has heard of.
+#[derive(Debug, Default)]
+pub struct Declared {
+    /// Version of the newest change that this node has read.
+    version: Cell<u64>,
+    /// Version of the newest change that a peer has read.
+    told: Cell<u64>,
+    /// Time at which this node's own last successful read was sent.
+    own_read_at: Cell<Option<Duration>>,
+    /// Notified when a peer has read a newer version.
+    changed: Notify,
+}
+
+/// Ages of the reads that a node made itself, as it reports them to its peers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Reading {
+    /// Version of the newest change of the declarations, and the age of the read that found none after it.
+    declared: u64,
+    declarations_age_ms: u32,
+    /// Age of the last read of the endpoints, and age from which on the notices hold all changes.
+    endpoints_age_ms: u32,
+    notices_age_ms: u32,
+    /// Time since the last failed read, if any.
+    outage_age_ms: Option<u32>,
+}
+
+/// Returns what this node reports about its own reads; `None` unless both are recent.
+pub fn own_reading(node: &Node, now: Duration) -> Option<Reading> {
+    let reading = recent_reading(node, now);
+    if reading.is_none() {
+        node.notices.borrow_mut().report(false, now);
+    }
+    reading
+}
+
+fn recent_reading(node: &Node, now: Duration) -> Option<Reading> {
+    let age = |time: Option<Duration>| time.map(|time| now.saturating_sub(time));
+    let is_recent = |age: &Duration| *age < MAX_REPORTED_AGE;
+    let declarations = age(node.declared.own_read_at.get()).filter(is_recent)?;
+    let endpoints = age(node.own_endpoints_read_at.get()).filter(is_recent)?;
+    let outage = age(node.roster.borrow().last_outage()).filter(is_recent);
+    let covered_since = node.notices.borrow_mut().report(true, now);
+    // The changes before the first read are not in the notices.
+    let covered_since = node.first_endpoints_read_at.get().max(Some(covered_since));
+    Some(Reading {
+        declared: node.declared.version.get(),
+        declarations_age_ms: declarations.as_millis() as u32,
+        endpoints_age_ms: endpoints.as_millis() as u32,
+        notices_age_ms: age(covered_since).unwrap_or_default().as_millis() as u32,
+        outage_age_ms: outage.map(|age| age.as_millis() as u32),
+    })
+}
+
+/// Applies what a peer reports about its reads: this node's knowledge is as recent as the peer's read if
+/// it has the same declarations and has received all notices since its own last read.
+///
+/// A report whose delay is unknown confirms nothing: it may have waited while this node was suspended.
+pub fn apply_reading(node: &Node, reading: &Reading, receipt: Receipt, now: Duration) {
+    let known = &node.declared;
+    if reading.declared > known.told.get() {
+        known.told.set(reading.declared);
+        known.changed.notify_one();
+    }
+    let Some(delay) = receipt.delay else { return };
+    let time_of =
+        |age_ms: u32| now.saturating_sub(delay + Duration::from_millis(u64::from(age_ms)));
+    if let Some(age_ms) = reading.outage_age_ms {
+        node.roster.borrow_mut().record_store_outage(time_of(age_ms));
+    }
+    let declarations = Some(time_of(reading.declarations_age_ms));
+    if reading.declared == known.version.get() && node.declarations_read_at.get().is_some() {
+        node.declarations_read_at.set(node.declarations_read_at.get().max(declarations));
+    }
+    let covered_since = receipt.contiguous_since.max(time_of(reading.notices_age_ms));
+    let is_complete = |known: Duration| known >= covered_since;
+    if node.endpoints_read_at.get().is_some_and(is_complete) {
+        let endpoints = Some(time_of(reading.endpoints_age_ms));
+        node.endpoints_read_at.set(node.endpoints_read_at.get().max(endpoints));
+    }
+}
+
+/// Watches the declarations until the process ends: by long polls while this node reads them for its
+/// direct peers, otherwise by single reads when a peer has read a newer version or none reports.
 pub async fn watch_declarations(node: Rc<Node>) {
     let mut after = None;
     let mut is_connected = true;
     let mut retry_delay = MIN_RETRY_DELAY;
-    let wait = MAX_DECLARATION_WAIT.min(node.settings.bounds.max_key_age() / WAITS_PER_KEY_AGE);
+    let max_wait = MAX_DECLARATION_WAIT.min(node.settings.bounds.max_key_age() / WAITS_PER_KEY_AGE);
     loop {
         let sent = clock::now();
-        let poll = LongPoll { after, wait };
+        let is_reader = node.peers.borrow().is_reader(sent);
+        if !is_reader && after.is_some() && !needs_declarations(&node, sent) {
+            // Both a notification and the timeout lead to a new decision.
+            let _ = tokio::time::timeout(CHECK_INTERVAL, node.declared.changed.notified()).await;
+            continue;
+        }
+        let read_at = node.declared.own_read_at.get();
+        if read_at.is_some_and(|read_at| sent.saturating_sub(read_at) > MAX_HISTORY_AGE) {
+            after = None;
+        }
+        let poll = LongPoll { after, wait: if is_reader { max_wait } else { Duration::ZERO } };
         match (node.platform.declarations)(poll).await {
             Ok(batch) => {
                 log_connection(&mut is_connected, true, "declarations", "");
+                node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
-                node.declarations_read_at.set(Some(sent));
+                node.declarations_read_at.set(node.declarations_read_at.get().max(Some(sent)));
+                node.declared.own_read_at.set(Some(sent));
                 after = Some(batch.version);
                 for declaration in batch.changes {
                     apply_declaration(&node, declaration);
                 }
+                node.declared.record(batch.newest_change, batch.version);
             }
             Err(failure) => {
                 log_connection(&mut is_connected, false, "declarations", &failure.to_string());
                 if is_history_gone(&failure) {
                     after = None;
                 } else {
+                    node.peers.borrow_mut().set_reaches_store(false);
                     tokio::time::sleep(retry_delay).await;
                     retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 }
@@ -62,6 +170,24 @@
     }
 }
 
+impl Declared {
+    /// Records a read up to `read_version` whose newest change has the version `newest_change`.
+    fn record(&self, newest_change: u64, read_version: u64) {
+        let mut version = self.version.get().max(newest_change);
+        // A whole table doesn't show removed rows, so their versions are only known from peers.
+        if self.told.get() <= read_version {
+            version = version.max(self.told.get());
+        }
+        self.version.set(version);
+    }
+}
+
+/// Returns whether a node that relies on a peer has to read the declarations itself.
+fn needs_declarations(node: &Node, now: Duration) -> bool {
+    node.declared.told.get() > node.declared.version.get()
+        || node.key_age(now).is_none_or(|age| age > MAX_PEER_READ_AGE)
+}
+
 /// Reason of a failure after which the caller has to read the whole table again.
 pub const HISTORY_GONE: &str = "the store no longer has the changes since this version";
 
@@ -106,20 +232,43 @@
     let mut after = None;
     let mut is_connected = true;
     let mut retry_delay = MIN_RETRY_DELAY;
+    let drain = node.settings.bounds.drain;
     loop {
         let sent = clock::now();
-        let poll = LongPoll { after, wait: ENDPOINT_WAIT };
+        let age = node.endpoints_read_at.get().map(|read_at| sent.saturating_sub(read_at));
+        let is_reader = node.peers.borrow().is_reader(sent);
+        if !is_reader && age.is_some_and(|age| age < drain.mul_f64(MAX_PEER_READ_FRACTION)) {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        let own_read_at = node.own_endpoints_read_at.get();
+        if own_read_at.is_some_and(|read_at| sent.saturating_sub(read_at) > MAX_HISTORY_AGE) {
+            after = None;
+        }
+        let poll = LongPoll { after, wait: Duration::ZERO };
         match (node.platform.endpoints)(poll).await {
             Ok(batch) => {
                 log_connection(&mut is_connected, true, "endpoints", "");
+                node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
                 after = Some(batch.version);
                 let is_complete = batch.is_complete;
-                let changes = node.notices.borrow_mut().apply_batch(batch);
-                publish_changes(&node, &changes);
+                let mut changes = node.notices.borrow_mut().apply_batch(batch);
+                if is_complete {
+                    add_removals(&node, &mut changes);
+                }
+                // What a node reads at its start is known to its peers.
+                if own_read_at.is_some() {
+                    publish_changes(&node, &changes);
+                }
                 apply_changes(&node, changes, is_complete);
-                node.endpoints_read_at.set(Some(sent));
-                tokio::time::sleep(read_delay(&node)).await;
+                node.endpoints_read_at.set(node.endpoints_read_at.get().max(Some(sent)));
+                node.own_endpoints_read_at.set(Some(sent));
+                if own_read_at.is_none() {
+                    node.first_endpoints_read_at.set(Some(sent));
+                }
+                // The next read may be due sooner if this node's role changes.
+                tokio::time::sleep(drain.mul_f64(READ_DELAY_FRACTION)).await;
             }
             Err(failure) => {
                 log_connection(&mut is_connected, false, "endpoints", &failure.to_string());
@@ -127,6 +276,7 @@
                     after = None;
                     continue;
                 }
+                node.peers.borrow_mut().set_reaches_store(false);
                 node.roster.borrow_mut().record_store_outage(clock::now());
                 tokio::time::sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
@@ -135,11 +285,12 @@
     }
 }
 
-fn read_delay(node: &Node) -> Duration {
-    let peers = node.peers.borrow().live_count(clock::now()) - 1;
-    let fraction =
-        if peers >= MIN_GOSSIP_PEERS { GOSSIP_READ_DELAY_FRACTION } else { READ_DELAY_FRACTION };
-    node.settings.bounds.drain.mul_f64(fraction)
+/// Adds the removal of each known endpoint that is missing in a complete list, so that peers are told.
+fn add_removals(node: &Node, changes: &mut Vec<Change>) {
+    let listed: HashSet<Arc<str>> = changes.iter().map(|change| change.id().clone()).collect();
+    let roster = node.roster.borrow();
+    let known = roster.iter().map(|entry| &entry.endpoint.id);
+    changes.extend(known.filter(|id| !listed.contains(*id)).cloned().map(Change::Removed));
 }
 
 /// Queues changes for the peers, except the regular reports of endpoints that change nothing.
@@ -155,9 +306,10 @@
 
 /// Applies endpoint changes that a peer has read, unless this node knows them.
 pub fn apply_peer_changes(node: &Rc<Node>, peer: &str, notices: Vec<Notice>) {
+    let now = clock::now();
     let mut own = node.notices.borrow_mut();
     let changes: Vec<_> =
-        notices.into_iter().filter_map(|notice| own.apply_notice(notice)).collect();
+        notices.into_iter().filter_map(|notice| own.apply_notice(notice, now)).collect();
     drop(own);
     if !changes.is_empty() {
         log::debug!("follow: event=endpoints_told peer={peer} changes={}", changes.len());
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,7 +23,7 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::shift::Shifts;
 use crate::gateway::usage::{Source, Usage};
-use crate::gateway::{clock, metrics};
+use crate::gateway::{clock, follow, metrics};
 
 /// Longest time after a start for which the node stays unready while it doesn't know how much of
 /// their quotas the tenants have used.
@@ -88,12 +88,18 @@
     /// milliseconds.
     pub incarnation: u64,
     pub catalog: RefCell<Option<Arc<Catalog>>>,
-    /// Time at which the last successful read of the declarations was sent.
+    /// Time as of which the declarations are known: when the last successful read was sent, by this node
+    /// or by a peer that found no newer version.
     pub declarations_read_at: Cell<Option<Duration>>,
+    pub declared: follow::Declared,
     pub roster: RefCell<Roster>,
     pub notices: RefCell<Notices>,
-    /// Time at which the last successful read of the endpoint list was sent.
+    /// Time as of which the endpoints are known: when the last successful read was sent, by this node or
+    /// by a peer whose notices of changes have all been received.
     pub endpoints_read_at: Cell<Option<Duration>>,
+    /// Time at which this node's own last successful read of the endpoints was sent.
+    pub own_endpoints_read_at: Cell<Option<Duration>>,
+    pub first_endpoints_read_at: Cell<Option<Duration>>,
     pub balancer: RefCell<Balancer>,
     pub quotas: RefCell<Quotas>,
     pub budget: RefCell<Budget>,
@@ -132,7 +138,8 @@
         };
         let wall_ms = clock::wall_ms();
         let incarnation = wall_ms.unsigned_abs();
-        let peers = Peers::new(settings.node.clone(), incarnation);
+        let (name, domain) = (settings.node.clone(), settings.failure_domain.clone());
+        let peers = Peers::new(name, domain, incarnation, clock::now());
         let metrics = metrics::Registry::new();
         let platform = platform.with_metrics(&metrics);
         Rc::new(Node {
@@ -142,9 +149,12 @@
             header_codec,
             catalog: RefCell::default(),
             declarations_read_at: Cell::default(),
+            declared: follow::Declared::default(),
             roster: RefCell::default(),
             notices: RefCell::default(),
             endpoints_read_at: Cell::default(),
+            own_endpoints_read_at: Cell::default(),
+            first_endpoints_read_at: Cell::default(),
             balancer: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota_window, settings.first_start)),
             budget: RefCell::new(Budget::new(retry_limit)),
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -12,8 +12,12 @@
 
 use crate::gateway::platform::{Batch, Change, Endpoint};
 
-/// Time for which a change is sent repeatedly, in several datagrams in case some are lost.
-const GOSSIP_TIME: Duration = Duration::from_millis(500);
+/// Time for which a change is sent repeatedly, in several datagrams in case some are lost. It is longer
+/// than the gap between two heartbeats after which a node no longer relies on the notices of a peer.
+const GOSSIP_TIME: Duration = Duration::from_millis(950);
+
+/// Time for which a change is kept, to be sent by a node that starts to report its reads.
+const KEPT_TIME: Duration = Duration::from_secs(3);
 
 /// A change with the version of the list at which it was read.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -29,15 +33,17 @@
     version: u64,
     /// Later versions that were received from peers, by endpoint.
     gossiped: HashMap<Arc<str>, u64>,
-    /// Changes to send to peers, each with the time at which it was read.
-    outgoing: VecDeque<(Duration, Notice)>,
+    /// Changes that this node has read or been told, each with the time at which it learned of it.
+    recent: VecDeque<(Duration, Notice)>,
+    /// Time since which this node reports its reads to its peers, so that they rely on its notices.
+    reporting_since: Option<Duration>,
 }
 
 impl Notices {
     /// Records a read from the store; returns its changes without those that a change received from a
     /// peer supersedes.
     pub fn apply_batch(&mut self, batch: Batch<Change>) -> Vec<Change> {
-        let Batch { changes, version, is_complete } = batch;
+        let Batch { changes, version, is_complete, .. } = batch;
         self.version = version;
         if is_complete {
             self.gossiped.clear();
@@ -50,16 +56,30 @@
 
     /// Records a notice from a peer; returns its change, or `None` if it isn't newer than what this node
     /// knows.
-    pub fn apply_notice(&mut self, notice: Notice) -> Option<Change> {
+    pub fn apply_notice(&mut self, notice: Notice, now: Duration) -> Option<Change> {
         let Notice { version, change } = notice;
         let known = self.gossiped.get(change.id()).map_or(self.version, |gossiped| *gossiped);
         if version <= known {
             return None;
         }
         self.gossiped.insert(change.id().clone(), version);
+        self.recent.push_back((now, Notice { version, change: change.clone() }));
         Some(change)
     }
 
+    /// Records whether this node reports its reads now; returns the time from which on its notices hold
+    /// all changes.
+    ///
+    /// A node that starts to report sends the changes of the last seconds again: a peer may have missed
+    /// the notice by which this node learned of them.
+    pub fn report(&mut self, is_reporting: bool, now: Duration) -> Duration {
+        let since = *self.reporting_since.get_or_insert(now);
+        if !is_reporting {
+            self.reporting_since = None;
+        }
+        since.saturating_sub(KEPT_TIME)
+    }
+
     /// Schedules the relevant changes that this node has read to be sent to its peers.
     ///
     /// The store returns every change since the last read, so one response can hold several states of
@@ -74,14 +94,18 @@
         for change in changes.iter().rev() {
             if ids.insert(change.id()) && is_relevant(change) {
                 let notice = Notice { version: self.version, change: change.clone() };
-                self.outgoing.push_back((now, notice));
+                self.recent.push_back((now, notice));
             }
         }
     }
 
     /// Returns the notices to send now, with the time until an endpoint leaves as of `now`.
     pub fn outgoing(&mut self, now: Duration) -> Vec<Notice> {
-        self.outgoing.retain(|(read_at, _)| now.saturating_sub(*read_at) < GOSSIP_TIME);
+        self.recent.retain(|(read_at, _)| now.saturating_sub(*read_at) < KEPT_TIME);
+        let since = self.reporting_since.unwrap_or(Duration::ZERO);
+        let is_due = |(read_at, _): &&(Duration, Notice)| {
+            now.saturating_sub((*read_at).max(since)) < GOSSIP_TIME
+        };
         let with_age = |(read_at, notice): &(Duration, Notice)| {
             let mut notice = notice.clone();
             if let Change::Updated(Endpoint { leaves_in: Some(remaining), .. }) = &mut notice.change
@@ -90,6 +114,6 @@
             }
             notice
         };
-        self.outgoing.iter().map(with_age).collect()
+        self.recent.iter().filter(is_due).map(with_age).collect()
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,195 +1,446 @@
-//! Gossip of state between the nodes over UDP, several times a second.
+//! The other nodes as this one knows them, and the roles that follow from it.
 //!
-//! Each heartbeat holds all state that the peers need, so the next one makes up for a lost datagram.
+//! In a small fleet all nodes are direct peers and exchange heartbeats. In a large one only the nodes of
+//! one failure domain are; between domains one node of each, its relay, sends the sums of its domain, so
+//! that a node's datagrams don't grow with the fleet. One of the direct peers reads the store for all of
+//! them. Every node derives relay and reader from what it has heard lately, so neither is set up
+//! or agreed on, and a silent one is replaced within some heartbeats. See "What a node pays" in
+//! `docs/platform.md`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
-use tokio::time::MissedTickBehavior;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3;
 
 use crate::gateway::balancer::Load;
-use crate::gateway::clock;
-use crate::gateway::follow;
-use crate::gateway::node::Node;
-use crate::gateway::notice::Notice;
-use crate::gateway::platform::Rows;
-use crate::platform::{Outcome, Transaction};
 
 /// Interval between heartbeats to each peer. The other nodes don't know of requests that a node sent to
-/// an endpoint within this time, so a shorter interval spreads a burst better but sends more bytes
-/// between failure domains.
+/// an endpoint within this time, so a shorter interval spreads a burst better but sends more bytes.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum interval between quota updates. Thirty nodes that receive many times the requests of a quota
-/// exceed it by what they admit in this time.
-const QUOTA_UPDATE_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of direct peers from which the interval grows in proportion, so that a node doesn't receive more
+/// datagrams in a larger failure domain.
+const FULL_RATE_PEERS: u32 = 24;
+const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of nodes up to which all of them are direct peers.
+pub const MAX_DIRECT_NODES: usize = 40;
+/// Interval between the sums that a relay sends to the other failure domains.
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of intervals without a datagram after which another node takes over the role of a node, and
+/// its share of the quotas stays unused.
+const SILENT_INTERVALS: f64 = 3.5;
 /// Time without a heartbeat after which a peer is no longer alive.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a heartbeat after which a peer is presumed removed: it gets no more datagrams, and its
 /// share of the quotas goes to the other nodes.
 const PEER_TTL: Duration = Duration::from_secs(20);
-/// Interval between reads of the list of nodes.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(10);
-/// Delay after a failed read or write of the list of nodes.
-const DISCOVERY_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Age from which a row in the list of nodes is ignored.
-const ROW_TTL_MS: u64 = 60_000;
-/// Number of usage windows in a heartbeat; older ones have been reported to the platform.
-const USAGE_WINDOWS: usize = 4;
+/// Time after its start in which a node takes no role while there are older nodes, which know more.
+const YOUNG_TIME: Duration = Duration::from_secs(2);
+/// Time for which a run of a peer must have been heard before the delay of its datagrams is known.
+const DELAY_LEARNING_TIME: Duration = Duration::from_secs(1);
 /// Offset from the median clock of all nodes above which this node corrects its own.
 const MAX_CLOCK_OFFSET_MS: i64 = 400;
-/// Largest datagram that a node receives.
-const MAX_DATAGRAM_BYTES: usize = 60_000;
-/// Key prefix of the rows that list the nodes.
-pub const ROW_PREFIX: &str = "node/";
-/// Version of the heartbeat encoding; it changes with each incompatible change.
-const HEARTBEAT_FORMAT: u8 = 3;
-/// First byte of a quota update, which tells it apart from a heartbeat.
-const QUOTA_FORMAT: u8 = 4;
-
-/// State of one node, sent to all peers at a fixed interval.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Heartbeat {
-    format: u8,
-    pub node: Arc<str>,
-    /// Wall clock at the start of the process, in Unix milliseconds; distinguishes restarts of a node.
+
+/// What a heartbeat says about its sender.
+#[derive(Debug, Clone)]
+pub struct Beat<'a> {
+    pub node: &'a Arc<str>,
+    pub domain: &'a Arc<str>,
     pub incarnation: u64,
     pub sequence: u64,
-    pub catalog_version: u64,
-    /// The node's corrected Unix time in milliseconds.
     pub unix_ms: u64,
-    /// Set while the node holds the duties lease.
-    pub holds_duties: bool,
-    /// Quota units that the node has admitted for each tenant since its start.
-    pub admitted: Vec<(Arc<str>, u64)>,
-    /// Quota units that all nodes have admitted for each tenant in the quota window.
-    pub window_sums: Vec<(Arc<str>, u64)>,
     pub uptime_ms: u64,
-    /// Number of requests of each tenant that started to run, by usage window.
-    pub usage: Vec<(u64, BTreeMap<Arc<str>, u64>)>,
-    pub loads: Vec<(Arc<str>, Load)>,
-    /// Prompt tokens that callers have requested since the start of the node, by service.
-    pub demand: Vec<(Arc<str>, u64)>,
-    /// Endpoint changes that the node has recently read from the store.
-    pub endpoints: Vec<Notice>,
-    /// State of each roll-out, with the good and bad responses of both versions.
-    pub rollouts: Vec<crate::gateway::shift::Report>,
+    pub holds_duties: bool,
+    /// Whether the sender's last call to the store succeeded.
+    pub reaches_store: bool,
+    pub loads: &'a [(Arc<str>, Load)],
 }
 
-/// Admitted units that a node sends between two heartbeats while a quota is nearly exhausted.
-#[derive(Debug, Serialize, Deserialize)]
-struct QuotaUpdate {
-    format: u8,
-    node: Arc<str>,
-    incarnation: u64,
-    uptime_ms: u64,
-    /// Quota units that the node has admitted since its start, for each tenant whose total has changed.
-    admitted: Vec<(Arc<str>, u64)>,
+/// What a digest says about its failure domain.
+#[derive(Debug, Clone)]
+pub struct Summary<'a> {
+    pub domain: &'a Arc<str>,
+    pub node: &'a Arc<str>,
+    pub incarnation: u64,
+    pub sequence: u64,
+    /// Known and live nodes of the domain.
+    pub nodes: u32,
+    pub live: u32,
+    pub holds_duties: bool,
+    pub loads: &'a [(Arc<str>, Load)],
+}
+
+/// How a heartbeat arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Receipt {
+    /// Time that the datagram took beyond that of the fastest one; `None` until it is known. It covers
+    /// datagrams that waited while this node was suspended.
+    pub delay: Option<Duration>,
+    /// Time since which heartbeats of the peer have come so often that no notice was missed.
+    pub contiguous_since: Duration,
 }
 
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    /// Unknown until the first heartbeat or a row of the list tells it.
+    domain: Option<Arc<str>>,
     incarnation: u64,
     sequence: u64,
     /// Time of the last heartbeat.
     seen: Option<Duration>,
+    /// Time of the first heartbeat of this run.
+    first_seen: Duration,
+    /// Time of the first heartbeat after the last gap.
+    contiguous_since: Duration,
     added: Duration,
     clock_offset_ms: i64,
+    uptime_ms: u64,
+    /// Largest difference seen between the peer's uptime and this node's clock: that of the fastest
+    /// datagram of this run.
+    max_skew_ms: i64,
     holds_duties: bool,
+    reaches_store: bool,
     loads: Vec<(Arc<str>, Load)>,
     /// Whether the peer was alive when its liveness was last logged.
     was_alive: bool,
 }
 
+/// Sums of another failure domain as one of its nodes last sent them.
+#[derive(Debug)]
+struct Relay {
+    domain: Arc<str>,
+    incarnation: u64,
+    sequence: u64,
+    seen: Duration,
+    nodes: u32,
+    live: u32,
+    holds_duties: bool,
+    loads: Vec<(Arc<str>, Load)>,
+}
+
 /// Peers of a node and the state that each last reported.
 #[derive(Debug)]
 pub struct Peers {
     node: Arc<str>,
+    domain: Arc<str>,
     incarnation: u64,
+    started_at: Duration,
     sequence: u64,
     peers: HashMap<Arc<str>, Peer>,
+    /// Other failure domains' sums by the node that sent them.
+    relays: HashMap<Arc<str>, Relay>,
+    /// Whether the fleet is so large that only nodes of one failure domain are direct peers.
+    is_split: bool,
+    /// Interval between this node's heartbeats.
+    interval: Duration,
+    /// Whether this node's last call to the store succeeded.
+    reaches_store: bool,
 }
 
 impl Peers {
-    pub fn new(node: Arc<str>, incarnation: u64) -> Peers {
-        Peers { node, incarnation, sequence: 0, peers: HashMap::new() }
+    pub fn new(node: Arc<str>, domain: Arc<str>, incarnation: u64, now: Duration) -> Peers {
+        Peers {
+            node,
+            domain,
+            incarnation,
+            started_at: now,
+            sequence: 0,
+            peers: HashMap::new(),
+            relays: HashMap::new(),
+            is_split: false,
+            interval: HEARTBEAT_INTERVAL,
+            reaches_store: true,
+        }
+    }
+
+    pub fn node(&self) -> &Arc<str> {
+        &self.node
+    }
+
+    pub fn domain(&self) -> &Arc<str> {
+        &self.domain
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the sequence number of the next datagram.
+    pub fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Records whether a call of this node to the store succeeded.
+    pub fn set_reaches_store(&mut self, reaches_store: bool) {
+        self.reaches_store = reaches_store;
+    }
+
+    pub fn reaches_store(&self) -> bool {
+        self.reaches_store
     }
 
     /// Adds a peer or updates its address; ignores this node itself.
-    pub fn add(&mut self, name: Arc<str>, address: SocketAddr, now: Duration) {
+    pub fn add(
+        &mut self,
+        name: Arc<str>,
+        domain: Option<Arc<str>>,
+        address: SocketAddr,
+        now: Duration,
+    ) {
         if name == self.node {
             return;
         }
         let peer = self.peers.entry(name).or_insert(Peer {
             address,
+            domain: None,
             incarnation: 0,
             sequence: 0,
             seen: None,
+            first_seen: now,
+            contiguous_since: now,
             added: now,
             clock_offset_ms: 0,
+            uptime_ms: 0,
+            max_skew_ms: i64::MIN,
             holds_duties: false,
+            reaches_store: true,
             loads: Vec::new(),
             was_alive: false,
         });
         peer.address = address;
+        if domain.is_some() {
+            peer.domain = domain;
+        }
+    }
+
+    /// Adds a node that a peer hears; does nothing if this node knows it.
+    pub fn add_introduced(
+        &mut self,
+        name: Arc<str>,
+        domain: Arc<str>,
+        address: SocketAddr,
+        now: Duration,
+    ) {
+        if self.peers.get(&name).is_none_or(|peer| !peer.is_known(now)) {
+            self.peers.remove(&name);
+            self.add(name, Some(domain), address, now);
+        }
+    }
+
+    /// Returns one of the live direct peers, in turn.
+    pub fn introduction(
+        &self,
+        turn: u64,
+        now: Duration,
+    ) -> Option<(Arc<str>, Arc<str>, SocketAddr)> {
+        let live = self.direct(now).filter(|(_, peer)| peer.is_alive(now)).count();
+        let index = turn.checked_rem(live as u64)?;
+        let mut alive = self.direct(now).filter(|(_, peer)| peer.is_alive(now));
+        let (name, peer) = alive.nth(index as usize)?;
+        Some((name.clone(), peer.domain.clone()?, peer.address))
     }
 
-    /// Records a heartbeat and its sender's address; returns whether it is newer than the last one.
-    fn record_heartbeat(
+    /// Records a heartbeat and its sender's address; `None` if it isn't newer than the last one or not
+    /// from a direct peer.
+    pub fn record_heartbeat(
         &mut self,
-        heartbeat: &Heartbeat,
+        beat: &Beat<'_>,
         from: SocketAddr,
         local_unix_ms: u64,
         now: Duration,
-    ) -> bool {
-        if heartbeat.node == self.node || heartbeat.format != HEARTBEAT_FORMAT {
+    ) -> Option<Receipt> {
+        if *beat.node == self.node {
+            return None;
+        }
+        self.add(beat.node.clone(), Some(beat.domain.clone()), from, now);
+        if self.is_split && *beat.domain != self.domain {
+            return None;
+        }
+        let silent_time = self.silent_time();
+        let peer = self.peers.get_mut(beat.node)?;
+        if (beat.incarnation, beat.sequence) <= (peer.incarnation, peer.sequence) {
+            return None;
+        }
+        let is_same_run = peer.incarnation == beat.incarnation;
+        let skew_ms = beat.uptime_ms as i64 - now.as_millis() as i64;
+        if !is_same_run {
+            peer.first_seen = now;
+            peer.max_skew_ms = skew_ms;
+        }
+        peer.max_skew_ms = peer.max_skew_ms.max(skew_ms);
+        let delay_ms = (peer.max_skew_ms - skew_ms).unsigned_abs();
+        let gap = Duration::from_millis(beat.uptime_ms.saturating_sub(peer.uptime_ms));
+        if !is_same_run || gap > silent_time {
+            peer.contiguous_since = now;
+        }
+        let is_learned = now.saturating_sub(peer.first_seen) >= DELAY_LEARNING_TIME;
+        let receipt = Receipt {
+            delay: is_learned.then(|| Duration::from_millis(delay_ms)),
+            contiguous_since: peer.contiguous_since,
+        };
+        (peer.incarnation, peer.sequence) = (beat.incarnation, beat.sequence);
+        // A datagram that waited says nothing about the time in which it waited.
+        peer.seen = Some(now.saturating_sub(Duration::from_millis(delay_ms)));
+        peer.uptime_ms = beat.uptime_ms;
+        peer.clock_offset_ms = beat.unix_ms as i64 - local_unix_ms as i64;
+        peer.holds_duties = beat.holds_duties;
+        peer.reaches_store = beat.reaches_store;
+        peer.loads.clear();
+        peer.loads.extend_from_slice(beat.loads);
+        Some(receipt)
+    }
+
+    /// Records the sums of another failure domain; returns whether they are newer than the last ones of
+    /// the same node and count in this fleet.
+    pub fn record_digest(&mut self, summary: &Summary<'_>, now: Duration) -> bool {
+        if !self.is_split || *summary.domain == self.domain {
             return false;
         }
-        self.add(heartbeat.node.clone(), from, now);
-        let Some(peer) = self.peers.get_mut(&heartbeat.node) else { return false };
-        if (heartbeat.incarnation, heartbeat.sequence) <= (peer.incarnation, peer.sequence) {
+        let relay = self.relays.entry(summary.node.clone()).or_insert_with(|| Relay {
+            domain: summary.domain.clone(),
+            incarnation: 0,
+            sequence: 0,
+            seen: now,
+            nodes: 0,
+            live: 0,
+            holds_duties: false,
+            loads: Vec::new(),
+        });
+        let number = (summary.incarnation, summary.sequence);
+        if number <= (relay.incarnation, relay.sequence) {
             return false;
         }
-        (peer.incarnation, peer.sequence) = (heartbeat.incarnation, heartbeat.sequence);
-        peer.seen = Some(now);
-        peer.clock_offset_ms = heartbeat.unix_ms as i64 - local_unix_ms as i64;
-        peer.holds_duties = heartbeat.holds_duties;
-        peer.loads.clone_from(&heartbeat.loads);
+        (relay.incarnation, relay.sequence) = number;
+        relay.seen = now;
+        (relay.nodes, relay.live) = (summary.nodes, summary.live);
+        relay.holds_duties = summary.holds_duties;
+        relay.loads.clear();
+        relay.loads.extend_from_slice(summary.loads);
         true
     }
 
+    /// Updates whether the fleet is split and the interval between heartbeats, and drops relays that have not been heard for long.
+    pub fn refresh(&mut self, now: Duration) {
+        self.relays.retain(|_, relay| now.saturating_sub(relay.seen) < PEER_TTL);
+        let is_split = self.fleet_size(now) > MAX_DIRECT_NODES;
+        if is_split != self.is_split {
+            log::info!("peers: event=fleet_split split={is_split} nodes={}", self.fleet_size(now));
+            self.is_split = is_split;
+        }
+        let direct = self.peers.values().filter(|peer| self.is_direct(peer)).count() as u32;
+        self.interval = (HEARTBEAT_INTERVAL * direct / FULL_RATE_PEERS)
+            .clamp(HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL);
+    }
+
+    pub fn is_split(&self) -> bool {
+        self.is_split
+    }
+
+    /// Returns the interval between this node's heartbeats.
+    pub fn heartbeat_interval(&self) -> Duration {
+        self.interval
+    }
+
+    fn silent_time(&self) -> Duration {
+        self.interval.mul_f64(SILENT_INTERVALS)
+    }
+
+    fn is_direct(&self, peer: &Peer) -> bool {
+        !self.is_split || peer.domain.as_ref() == Some(&self.domain)
+    }
+
+    /// Returns the direct peers that have not expired.
+    fn direct(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| self.is_direct(peer) && peer.is_known(now))
+    }
+
+    /// Returns the last sums of each other failure domain.
+    fn newest_relays(&self) -> SmallVec<[(&Arc<str>, &Relay); 8]> {
+        let mut newest: SmallVec<[(&Arc<str>, &Relay); 8]> = SmallVec::new();
+        for (name, relay) in &self.relays {
+            match newest.iter_mut().find(|(_, it)| it.domain == relay.domain) {
+                Some(known) if known.1.seen < relay.seen => *known = (name, relay),
+                Some(_) => {}
+                None => newest.push((name, relay)),
+            }
+        }
+        newest
+    }
+
+    /// Returns the number of nodes that have not expired: of another failure domain those listed or,
+    /// if more, those that its relay knows.
+    fn fleet_size(&self, now: Duration) -> usize {
+        let mut domains: HashMap<Option<&Arc<str>>, usize> = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_known(now)) {
+            *domains.entry(peer.domain.as_ref()).or_default() += 1;
+        }
+        for (_, relay) in self.newest_relays() {
+            let count = domains.entry(Some(&relay.domain)).or_default();
+            *count = (*count).max(relay.nodes as usize);
+        }
+        1 + domains.values().sum::<usize>()
+    }
+
     /// Returns the number of live nodes, including this one.
     pub fn live_count(&self, now: Duration) -> usize {
-        1 + self.peers.values().filter(|peer| peer.is_alive(now)).count()
+        let direct = self.direct(now).filter(|(_, peer)| peer.is_alive(now)).count();
+        1 + direct + self.live_elsewhere(now, PEER_TIMEOUT)
+    }
+
+    /// Returns the number of live nodes of the other failure domains whose sums are at most `max_age` old.
+    fn live_elsewhere(&self, now: Duration, max_age: Duration) -> usize {
+        if !self.is_split {
+            return 0;
+        }
+        let relays = self.newest_relays();
+        let recent = relays.iter().filter(|(_, relay)| now.saturating_sub(relay.seen) < max_age);
+        recent.map(|(_, relay)| relay.live as usize).sum()
+    }
+
+    /// Returns the known and the live nodes of this node's failure domain, including this one.
+    pub fn domain_counts(&self, now: Duration) -> (u32, u32) {
+        let known = 1 + self.direct(now).count();
+        let live = 1 + self.direct(now).filter(|(_, peer)| peer.is_alive(now)).count();
+        (known as u32, live as u32)
     }
 
-    /// Reports whether a live peer holds the duties lease.
+    /// Reports whether another live node holds the duties lease.
     pub fn has_live_holder(&self, now: Duration) -> bool {
-        self.peers.values().any(|peer| peer.holds_duties && peer.is_alive(now))
+        self.has_live_direct_holder(now)
+            || self.is_split
+                && self.relays.values().any(|relay| {
+                    relay.holds_duties && now.saturating_sub(relay.seen) < PEER_TIMEOUT
+                })
     }
 
-    /// Returns the fraction of the quotas that the live nodes may use: the live ones among all nodes
-    /// that have not expired.
+    /// Reports whether a live direct peer holds the duties lease.
+    pub fn has_live_direct_holder(&self, now: Duration) -> bool {
+        self.direct(now).any(|(_, peer)| peer.holds_duties && peer.is_alive(now))
+    }
+
+    /// Returns the fraction of the quotas that this node and the nodes heard lately may use: those nodes
+    /// among all that have not expired.
+    ///
+    /// A silent node may be cut off and admit requests itself. What both sides of a partition admit before
+    /// they count each other as silent exceeds the quotas, so that time is short.
     pub fn quota_share(&self, now: Duration) -> f64 {
-        let known = |peer: &&Peer| {
-            let seen = peer.seen.unwrap_or(peer.added);
-            now.saturating_sub(seen) < PEER_TTL
-        };
-        let total = 1 + self.peers.values().filter(known).count();
-        self.live_count(now) as f64 / total as f64
+        let silent_time = self.silent_time();
+        let recent = self.direct(now).filter(|(_, peer)| peer.is_recent(now, silent_time)).count();
+        let elsewhere = self.live_elsewhere(now, DIGEST_INTERVAL.mul_f64(SILENT_INTERVALS));
+        (1 + recent + elsewhere) as f64 / self.fleet_size(now) as f64
     }
 
-    /// Returns the correction of this node's Unix time, in milliseconds, to the median of all live nodes.
+    /// Returns the correction of this node's Unix time, in milliseconds, to the median of all live direct
+    /// peers.
     ///
     /// Returns `None` while the offset is tolerable or fewer than two peers are alive.
-    fn clock_correction_ms(&self, now: Duration) -> Option<i64> {
-        let alive = self.peers.values().filter(|peer| peer.is_alive(now));
-        let mut offsets: Vec<i64> = alive.map(|peer| peer.clock_offset_ms).collect();
+    pub fn clock_correction_ms(&self, now: Duration) -> Option<i64> {
+        let alive = self.direct(now).filter(|(_, peer)| peer.is_alive(now));
+        let mut offsets: Vec<i64> = alive.map(|(_, peer)| peer.clock_offset_ms).collect();
         if offsets.len() < 2 {
             return None;
         }
@@ -199,13 +450,15 @@
         (median.abs() > MAX_CLOCK_OFFSET_MS).then_some(median)
     }
 
-    /// Returns the peers whose liveness has changed since the last call: their name, whether they are
-    /// alive, and the time since their last heartbeat or, without one, since they were added.
-    fn liveness_changes(&mut self, now: Duration) -> Vec<(Arc<str>, bool, Duration)> {
+    /// Returns the direct peers whose liveness has changed since the last call: their name, whether they
+    /// are alive, and the time since their last heartbeat or, without one, since they were added.
+    pub fn liveness_changes(&mut self, now: Duration) -> Vec<(Arc<str>, bool, Duration)> {
         let mut changes = Vec::new();
+        let (is_split, domain) = (self.is_split, self.domain.clone());
         for (name, peer) in &mut self.peers {
+            let is_direct = !is_split || peer.domain.as_ref() == Some(&domain);
             let is_alive = peer.is_alive(now);
-            if is_alive != peer.was_alive {
+            if is_direct && is_alive != peer.was_alive {
                 peer.was_alive = is_alive;
                 let age = now.saturating_sub(peer.seen.unwrap_or(peer.added));
                 changes.push((name.clone(), is_alive, age));
@@ -214,257 +467,130 @@
         changes
     }
 
-    /// Returns the time since the last heartbeat of each peer or, without one, since it was added.
+    /// Returns the time since the last heartbeat of each direct peer or, without one, since it was added.
     pub fn ages(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, Duration)> {
         self.peers
             .iter()
+            .filter(|(_, peer)| self.is_direct(peer))
             .map(move |(name, peer)| (name, now.saturating_sub(peer.seen.unwrap_or(peer.added))))
     }
 
-    fn addresses(&self, now: Duration) -> Vec<SocketAddr> {
-        let known = |peer: &&Peer| now.saturating_sub(peer.seen.unwrap_or(peer.added)) < PEER_TTL;
-        self.peers.values().filter(known).map(|peer| peer.address).collect()
+    /// Returns the addresses to which this node sends its heartbeats.
+    pub fn direct_addresses(&self, now: Duration) -> Vec<SocketAddr> {
+        self.direct(now).map(|(_, peer)| peer.address).collect()
     }
 
-    fn loads(&self, now: Duration) -> Vec<(Arc<str>, Load)> {
-        let alive = self.peers.values().filter(|peer| peer.is_alive(now));
-        alive.flat_map(|peer| peer.loads.iter().cloned()).collect()
+    /// Returns whether an address is that of a node of this failure domain.
+    pub fn is_in_domain(&self, address: SocketAddr) -> bool {
+        let is_own = |peer: &Peer| peer.domain.as_ref() == Some(&self.domain);
+        self.peers.values().any(|peer| peer.address == address && is_own(peer))
     }
-}
 
-impl Peer {
-    fn is_alive(&self, now: Duration) -> bool {
-        self.seen.is_some_and(|seen| now.saturating_sub(seen) < PEER_TIMEOUT)
-    }
-}
-
-/// Sends and receives datagrams until the process ends.
-pub async fn run(node: Rc<Node>, socket: UdpSocket) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut timer = tokio::time::interval(HEARTBEAT_INTERVAL);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut update_timer = tokio::time::interval(QUOTA_UPDATE_INTERVAL);
-    update_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut is_update_pending = false;
-    loop {
-        tokio::select! {
-            _ = timer.tick() => send_heartbeat(&node, &socket),
-            () = node.quota_update.notified(), if !is_update_pending => is_update_pending = true,
-            // The timer keeps the minimum interval between two quota updates.
-            _ = update_timer.tick(), if is_update_pending => {
-                is_update_pending = false;
-                send_quota_update(&node, &socket);
+    /// Returns the addresses to which a relay sends the sums of its failure domain: in each other domain
+    /// the node that sent the last sums, the one that is likely to be the relay, and one more in turn.
+    pub fn relay_addresses(&self, turn: u64, now: Duration) -> Vec<SocketAddr> {
+        let mut domains: HashMap<&Arc<str>, Vec<(&Arc<str>, &Peer)>> = HashMap::new();
+        for (name, peer) in &self.peers {
+            if let Some(domain) = peer.domain.as_ref().filter(|domain| **domain != self.domain) {
+                domains.entry(domain).or_default().push((name, peer));
+            }
+        }
+        let mut addresses = Vec::new();
+        for (domain, mut nodes) in domains {
+            nodes.sort_unstable_by_key(|(name, _)| rank(name));
+            let current = self.relays.iter().filter(|(_, relay)| {
+                relay.domain == *domain && now.saturating_sub(relay.seen) < PEER_TIMEOUT
+            });
+            let current = current.max_by_key(|(_, relay)| relay.seen);
+            let current = current.and_then(|(name, _)| self.peers.get(name));
+            let in_turn = nodes[turn as usize % nodes.len()].1;
+            let mut chosen: SmallVec<[SocketAddr; 3]> = SmallVec::new();
+            for peer in current.into_iter().chain([nodes[0].1, in_turn]) {
+                if !chosen.contains(&peer.address) {
+                    chosen.push(peer.address);
+                }
             }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => receive(&node, &buffer[..length], from),
-                Err(error) => log::debug!("peers: event=receive_failed error=\"{error}\""),
-            },
+            addresses.extend(chosen);
         }
+        addresses
     }
-}
 
-/// Builds the next heartbeat. Each field is computed in a statement of its own, so that no two borrows
-/// of the same state overlap.
-fn build_heartbeat(node: &Rc<Node>, now: Duration) -> Heartbeat {
-    let (name, incarnation, sequence) = {
-        let mut peers = node.peers.borrow_mut();
-        peers.sequence += 1;
-        (peers.node.clone(), peers.incarnation, peers.sequence)
-    };
-    let mut quotas = node.quotas.borrow_mut();
-    let window_sums = quotas.sums(now);
-    let admitted = quotas.report_totals();
-    let usage = node.usage.borrow();
-    let usage =
-        usage.own_counts(USAGE_WINDOWS).map(|(window, counts)| (window, counts.clone())).collect();
-    let balancer = node.balancer.borrow();
-    let loads = balancer.own_loads().map(|(id, load)| (id.clone(), load)).collect();
-    let demand = node.demand.borrow();
-    let demand = demand.own().map(|(service, total)| (service.clone(), total)).collect();
-    Heartbeat {
-        format: HEARTBEAT_FORMAT,
-        node: name,
-        incarnation,
-        sequence,
-        catalog_version: node.catalog().map_or(0, |catalog| catalog.version),
-        unix_ms: node.unix_ms(),
-        holds_duties: node.holds_duties.get(),
-        admitted,
-        window_sums,
-        uptime_ms: now.saturating_sub(node.started_at).as_millis() as u64,
-        usage,
-        loads,
-        demand,
-        endpoints: node.notices.borrow_mut().outgoing(now),
-        rollouts: node.shifts.borrow().reports(now),
+    /// Reports whether this node reads the store for its direct peers.
+    pub fn is_reader(&self, now: Duration) -> bool {
+        let key =
+            |reaches_store: bool, is_young: bool, name| (!reaches_store, is_young, rank(name));
+        let own = key(self.reaches_store, self.is_young(now), &self.node);
+        self.recent(now).all(|(name, peer)| key(peer.reaches_store, peer.is_young(now), name) > own)
     }
-}
 
-/// Sends a heartbeat and applies what has changed with the state of the peers: their liveness, the quota
-/// share, the loads of the endpoints and the clock correction.
-fn send_heartbeat(node: &Rc<Node>, socket: &UdpSocket) {
-    let now = clock::now();
-    let heartbeat = build_heartbeat(node, now);
-    for (peer, is_alive, age) in node.peers.borrow_mut().liveness_changes(now) {
-        let event = if is_alive { "peer_regained" } else { "peer_lost" };
-        log::info!("peers: event={event} peer={peer} age_ms={}", age.as_millis());
-    }
-    let peers = node.peers.borrow();
-    broadcast(&heartbeat, peers.addresses(now), socket);
-    node.quotas.borrow_mut().set_share(peers.quota_share(now));
-    node.balancer.borrow_mut().set_peer_loads(peers.loads(now).into_iter());
-    // A peer may have released capacity that queued requests wait for.
-    node.wake_all();
-    if let Some(correction) = peers.clock_correction_ms(now) {
-        node.unix_offset_ms.set(node.unix_offset_ms.get() + correction);
-        log::warn!("peers: event=clock_corrected by_ms={correction}");
+    /// Reports whether this node sends the sums of its failure domain to the others.
+    pub fn is_relay(&self, now: Duration) -> bool {
+        let own = (self.is_young(now), rank(&self.node));
+        self.is_split && self.recent(now).all(|(name, peer)| (peer.is_young(now), rank(name)) > own)
     }
-}
 
-/// Sends the peers the totals of the tenants whose admitted units have changed since the last report.
-fn send_quota_update(node: &Rc<Node>, socket: &UdpSocket) {
-    let admitted = node.quotas.borrow_mut().report_changed_totals();
-    let peers = node.peers.borrow();
-    let now = clock::now();
-    let update = QuotaUpdate {
-        format: QUOTA_FORMAT,
-        node: peers.node.clone(),
-        incarnation: peers.incarnation,
-        uptime_ms: now.saturating_sub(node.started_at).as_millis() as u64,
-        admitted,
-    };
-    broadcast(&update, peers.addresses(now), socket);
-}
+    /// Reports whether a live direct peer has run for much longer than this node, and so knows what
+    /// happened before this node started.
+    pub fn has_older_peer(&self, now: Duration) -> bool {
+        let uptime = now.saturating_sub(self.started_at);
+        self.recent(now).any(|(_, peer)| peer.uptime(now) > uptime + YOUNG_TIME)
+    }
 
-/// Sends a message to all peers; send errors are only logged, as the next datagram makes up for them.
-fn broadcast(message: &impl Serialize, addresses: Vec<SocketAddr>, socket: &UdpSocket) {
-    let bytes = match postcard::to_stdvec(message) {
-        Ok(bytes) => bytes,
-        Err(error) => return log::error!("peers: event=encode_failed error=\"{error}\""),
-    };
-    for address in addresses {
-        if let Err(error) = socket.try_send_to(&bytes, address) {
-            log::debug!("peers: event=send_failed peer={address} error=\"{error}\"");
-        }
+    /// Reports whether a direct peer has started so recently that it lacks the history of the windows.
+    pub fn has_young_peer(&self, now: Duration) -> bool {
+        self.recent(now).any(|(_, peer)| peer.is_young(now))
     }
-}
 
-fn receive(node: &Rc<Node>, data: &[u8], from: SocketAddr) {
-    let result = match data.first() {
-        Some(&QUOTA_FORMAT) => postcard::from_bytes(data).map(|update| apply_update(node, &update)),
-        _ => postcard::from_bytes(data).map(|heartbeat| apply_heartbeat(node, heartbeat, from)),
-    };
-    if let Err(error) = result {
-        log::debug!("peers: event=bad_datagram from={from} error=\"{error}\"");
+    /// Returns the direct peers heard so lately that they are likely to act now.
+    fn recent(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
+        let silent_time = self.silent_time();
+        self.direct(now).filter(move |(_, peer)| peer.is_recent(now, silent_time))
+    }
+
+    fn is_young(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started_at) < YOUNG_TIME
     }
-}
 
-fn apply_update(node: &Rc<Node>, update: &QuotaUpdate) {
-    let uptime = Duration::from_millis(update.uptime_ms);
-    let mut quotas = node.quotas.borrow_mut();
-    for (tenant, total) in &update.admitted {
-        quotas.record_peer_total(
-            (&update.node, update.incarnation),
-            tenant,
-            *total,
-            uptime,
-            clock::now(),
-        );
+    /// Returns the loads that the live direct peers reported.
+    pub fn direct_loads(&self, now: Duration) -> impl Iterator<Item = &(Arc<str>, Load)> {
+        let alive = self.direct(now).filter(move |(_, peer)| peer.is_alive(now));
+        alive.flat_map(|(_, peer)| &peer.loads)
+    }
+
+    /// Returns the loads of all other nodes: those of live direct peers, and the sums of the other failure
+    /// domains.
+    pub fn loads(&self, now: Duration) -> Vec<(Arc<str>, Load)> {
+        let relays = if self.is_split { self.newest_relays() } else { SmallVec::new() };
+        let alive = relays.iter().filter(|(_, it)| now.saturating_sub(it.seen) < PEER_TIMEOUT);
+        let elsewhere = alive.flat_map(|(_, relay)| &relay.loads);
+        self.direct_loads(now).chain(elsewhere).cloned().collect()
     }
 }
 
-fn apply_heartbeat(node: &Rc<Node>, heartbeat: Heartbeat, from: SocketAddr) {
-    let now = clock::now();
-    if !node.peers.borrow_mut().record_heartbeat(&heartbeat, from, node.unix_ms(), now) {
-        return;
-    }
-    let mut quotas = node.quotas.borrow_mut();
-    let uptime = Duration::from_millis(heartbeat.uptime_ms);
-    quotas.adopt_sums(uptime, &heartbeat.window_sums, now);
-    for (tenant, total) in &heartbeat.admitted {
-        quotas.record_peer_total(
-            (&heartbeat.node, heartbeat.incarnation),
-            tenant,
-            *total,
-            uptime,
-            now,
-        );
-    }
-    let mut usage = node.usage.borrow_mut();
-    for (window, counts) in heartbeat.usage {
-        usage.update_peer((heartbeat.node.clone(), heartbeat.incarnation), window, counts);
-    }
-    for (service, total) in &heartbeat.demand {
-        node.demand.borrow_mut().record_peer(
-            &heartbeat.node,
-            heartbeat.incarnation,
-            service,
-            *total,
-        );
-    }
-    node.shifts.borrow_mut().merge_peer(
-        &heartbeat.node,
-        heartbeat.incarnation,
-        heartbeat.rollouts,
-        now,
-    );
-    // Endpoint changes wake queued requests, which borrow the same state.
-    drop((quotas, usage));
-    follow::apply_peer_changes(node, &heartbeat.node, heartbeat.endpoints);
+/// Returns the position of a node in the order in which nodes take roles, equal on all nodes.
+fn rank(node: &str) -> u64 {
+    xxh3::xxh3_64(node.as_bytes())
 }
 
-/// Registers this node in the list in the store and reads the other nodes from it, until the process
-/// ends.
-pub async fn discover(node: Rc<Node>) {
-    let mut is_registered = false;
-    loop {
-        let rows = (node.platform.rows)(ROW_PREFIX.to_owned()).await;
-        let delay = match rows {
-            Ok(rows) => {
-                let is_listed = apply_rows(&node, &rows, &mut is_registered).await;
-                if is_listed { DISCOVERY_INTERVAL } else { DISCOVERY_RETRY_DELAY }
-            }
-            Err(failure) => {
-                log::debug!("peers: event=list_unread reason=\"{failure}\"");
-                DISCOVERY_RETRY_DELAY
-            }
-        };
-        tokio::time::sleep(delay).await;
+impl Peer {
+    fn is_known(&self, now: Duration) -> bool {
+        now.saturating_sub(self.seen.unwrap_or(self.added)) < PEER_TTL
     }
-}
 
-/// Adds the listed nodes as peers, and writes this node's row when it is missing or a third of its
-/// lifetime old; returns whether this node is registered.
-async fn apply_rows(node: &Rc<Node>, rows: &Rows, is_registered: &mut bool) -> bool {
-    let now = clock::now();
-    let own_key = format!("{ROW_PREFIX}{}", node.settings.node);
-    let address = node.settings.listen.peers;
-    let mut own_version = None;
-    let mut is_own_fresh = false;
-    for row in &rows.rows {
-        let field = |name: &str| row.value.get(name);
-        let written_ms = field("at_ms").and_then(serde_json::Value::as_u64).unwrap_or(0);
-        let age = rows.now_ms.saturating_sub(written_ms);
-        if row.key == own_key {
-            own_version = Some(row.version);
-            is_own_fresh = age < ROW_TTL_MS / 3;
-            continue;
-        }
-        let listed_address = field("address").and_then(|text| text.as_str()?.parse().ok());
-        let name = row.key.strip_prefix(ROW_PREFIX);
-        if let (Some(name), Some(listed_address)) = (name, listed_address)
-            && age < ROW_TTL_MS
-        {
-            node.peers.borrow_mut().add(name.into(), listed_address, now);
-        }
+    fn is_alive(&self, now: Duration) -> bool {
+        self.is_recent(now, PEER_TIMEOUT)
+    }
+
+    fn is_recent(&self, now: Duration, max_age: Duration) -> bool {
+        self.seen.is_some_and(|seen| now.saturating_sub(seen) < max_age)
     }
-    if *is_registered && is_own_fresh {
-        return true;
+
+    fn uptime(&self, now: Duration) -> Duration {
+        let silence = now.saturating_sub(self.seen.unwrap_or(self.added));
+        Duration::from_millis(self.uptime_ms) + silence
+    }
+
+    fn is_young(&self, now: Duration) -> bool {
+        self.uptime(now) < YOUNG_TIME
     }
-    let value = serde_json::json!({ "address": address.to_string(), "at_ms": rows.now_ms });
-    let mut transaction = Transaction::default();
-    transaction.put(&own_key, own_version, value);
-    let outcome = (node.platform.transact)(transaction).await;
-    *is_registered = matches!(outcome, Ok(Outcome::Done(_)));
-    *is_registered
 }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -32,6 +32,8 @@
 pub struct Batch<T> {
     pub changes: Vec<T>,
     pub version: u64,
+    /// Version of the newest of the changes; 0 without changes.
+    pub newest_change: u64,
     /// Set if `changes` is the whole current content instead of the changes after a version.
     pub is_complete: bool,
 }
--- a/src/gateway/recall.rs
+++ b/src/gateway/recall.rs
@@ -2,7 +2,7 @@
 //!
 //! Quotas and usage are counted in memory and gossiped between the nodes. Without the snapshot, a loss of
 //! all nodes at once would let each tenant start an empty quota window, and the usage of the last windows
-//! would be unknown. The holder of the duties lease writes it.
+//! would be unknown. The holder of the duties lease writes it, in as many rows as its size requires.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -13,11 +13,21 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
+use crate::gateway::quota;
 use crate::gateway::shift;
 use crate::gateway::usage::Source;
-use crate::platform::{Outcome, Transaction};
+use crate::platform::{Outcome, Row, Transaction, Write};
 
+/// Key of the row with the first part; the others have their number as a suffix.
 const KEY: &str = "recent";
+/// Largest size of a part, in bytes of JSON. The platform's rows hold 64 KiB.
+const MAX_PART_BYTES: usize = 40_000;
+/// Most tenants in one entry of the usage, so that an entry fits into a part.
+const MAX_PART_TENANTS: usize = 500;
+/// Size of a roll-out's report in JSON.
+const MAX_REPORT_BYTES: usize = 400;
+/// Size of an entry in JSON besides the tenants' names: quotes, digits and separators.
+const ENTRY_BYTES: usize = 60;
 /// Interval between writes.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time by which the snapshot lags behind the counters: the write interval and one slow write.
@@ -27,16 +37,81 @@
 /// Delay after a read that failed or whose counters could not be applied yet.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Snapshot {
-    /// Corrected Unix time of the write, in milliseconds.
-    true_ms: u64,
-    /// Quota units that all nodes have admitted for each tenant in the quota window.
-    window_sums: Vec<(Arc<str>, u64)>,
-    usage: Vec<(Source, u64, BTreeMap<Arc<str>, u64>)>,
+/// Counters of all nodes, or a part of them.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Corrected Unix time of the write, in milliseconds; equal in all parts.
+    pub true_ms: u64,
+    /// Number of parts.
+    #[serde(default)]
+    pub parts: usize,
+    /// Quota units that all nodes have admitted for each tenant in the quota window, by age.
+    pub window: Vec<(Arc<str>, quota::Profile)>,
+    pub usage: Vec<(Source, u64, BTreeMap<Arc<str>, u64>)>,
     /// Phase and elapsed time of each roll-out, without its response counts.
     #[serde(default)]
-    shifts: Vec<shift::Report>,
+    pub shifts: Vec<shift::Report>,
+}
+
+impl Snapshot {
+    /// Splits the snapshot into parts that each fit into a row.
+    pub fn split(self) -> Vec<Snapshot> {
+        let empty = Snapshot { true_ms: self.true_ms, ..Snapshot::default() };
+        let mut parts = vec![Snapshot { shifts: self.shifts, ..empty.clone() }];
+        let mut size = parts[0].shifts.len() * MAX_REPORT_BYTES;
+        let mut place = |bytes: usize, add: &mut dyn FnMut(&mut Snapshot)| {
+            if size > 0 && size + bytes > MAX_PART_BYTES {
+                parts.push(empty.clone());
+                size = 0;
+            }
+            size += bytes;
+            parts.last_mut().map(add);
+        };
+        for (tenant, profile) in self.window {
+            place(tenant.len() + ENTRY_BYTES, &mut |part| {
+                part.window.push((tenant.clone(), profile))
+            });
+        }
+        for ((node, start), window, counts) in self.usage {
+            let counts: Vec<_> = counts.into_iter().collect();
+            for chunk in counts.chunks(MAX_PART_TENANTS) {
+                let bytes = chunk.iter().map(|(tenant, _)| tenant.len() + ENTRY_BYTES);
+                let bytes = node.len() + 2 * ENTRY_BYTES + bytes.sum::<usize>();
+                let source = (node.clone(), start);
+                let counts: BTreeMap<_, _> = chunk.iter().cloned().collect();
+                place(bytes, &mut |part| part.usage.push((source.clone(), window, counts.clone())));
+            }
+        }
+        let count = parts.len();
+        parts.iter_mut().for_each(|part| part.parts = count);
+        parts
+    }
+
+    /// Joins the parts in a list of rows; `None` if the first is missing or another one is of a different
+    /// write.
+    pub fn join(rows: &[Row]) -> Option<Snapshot> {
+        let part = |index: usize| {
+            let row = rows.iter().find(|row| row.key == part_key(index))?;
+            Snapshot::deserialize(&row.value).ok()
+        };
+        let mut snapshot = part(0)?;
+        for index in 1..snapshot.parts {
+            let part = part(index).filter(|part| part.true_ms == snapshot.true_ms)?;
+            snapshot.window.extend(part.window);
+            for (source, window, counts) in part.usage {
+                match snapshot.usage.iter_mut().find(|it| (&it.0, it.1) == (&source, window)) {
+                    Some((.., known)) => known.extend(counts),
+                    None => snapshot.usage.push((source, window, counts)),
+                }
+            }
+        }
+        Some(snapshot)
+    }
+}
+
+/// Returns the key of the row that holds a part.
+pub fn part_key(index: usize) -> String {
+    if index == 0 { KEY.to_owned() } else { format!("{KEY}/{index}") }
 }
 
 /// Writes the snapshot while this node holds the duties lease; a new holder starts with a new writer.
@@ -56,19 +131,26 @@
         }
         let snapshot = Snapshot {
             true_ms: node.unix_ms(),
-            window_sums: node.quotas.borrow_mut().sums(clock::now()),
+            window: node.quotas.borrow_mut().profiles(clock::now()),
             usage: node.usage.borrow().all_counts(&node.source(), USAGE_WINDOWS),
             shifts: node.shifts.borrow().reports_without_tallies(clock::now()),
-        };
-        let value = match serde_json::to_value(&snapshot) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!("recall: event=encode_failed error=\"{error}\"");
-                return;
-            }
+            ..Snapshot::default()
         };
         let mut transaction = Transaction::default();
-        transaction.put(KEY, self.version, value);
+        for (index, part) in snapshot.split().into_iter().enumerate() {
+            let value = match serde_json::to_value(&part) {
+                Ok(value) => value,
+                Err(error) => {
+                    log::error!("recall: event=encode_failed error=\"{error}\"");
+                    return;
+                }
+            };
+            match index {
+                0 => transaction.put(KEY, self.version, value),
+                // The condition on the first part covers the others, as all are written at once.
+                _ => transaction.writes.push(Write { key: part_key(index), value: Some(value) }),
+            }
+        }
         match (node.platform.transact)(transaction).await {
             Ok(Outcome::Done(version)) => self.version = Some(version),
             _ => self.is_version_known = false,
@@ -89,9 +171,7 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        let row = rows.rows.iter().find(|row| row.key == KEY);
-        let snapshot = row.and_then(|row| Snapshot::deserialize(&row.value).ok());
-        let Some(snapshot) = snapshot else {
+        let Some(snapshot) = Snapshot::join(&rows.rows) else {
             log::warn!("recall: event=no_row note=\"no snapshot; quotas count as exhausted\"");
             return;
         };
@@ -123,7 +203,7 @@
         return true;
     };
     let mut quotas = node.quotas.borrow_mut();
-    let is_applied = quotas.restore(&snapshot.window_sums, age, MAX_LAG, clock::now());
+    let is_applied = quotas.restore(&snapshot.window, age, MAX_LAG, clock::now());
     if is_applied {
         log::info!("recall: event=recalled age_ms={}", age.as_millis());
     }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -138,7 +138,12 @@
 impl Roster {
     /// Records a failed read of the store; entries that disappear soon after may come back.
     pub fn record_store_outage(&mut self, now: Duration) {
-        self.last_outage = Some(now);
+        self.last_outage = self.last_outage.max(Some(now));
+    }
+
+    /// Returns the time of the last failed read of the store, by this node or as a peer reported it.
+    pub fn last_outage(&self) -> Option<Duration> {
+        self.last_outage
     }
 
     /// Applies a change; returns the endpoint if it is leaving or its entry has disappeared.
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
+use crate::gateway::usage::DOMAIN_START;
 
 /// Traffic share of the canary; a bad version may get at most a tenth of the requests overall.
 const CANARY_SHARE: f64 = 0.04;
@@ -70,7 +71,7 @@
 }
 
 /// State of one roll-out, as a node reports it to its peers.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     service: Arc<str>,
     revision: u64,
@@ -101,14 +102,33 @@
 impl Shift {
     /// Returns the tallies of the new and of the old version over all nodes.
     fn total_tallies(&self) -> (Tally, Tally) {
+        self.tallies(|_| true)
+    }
+
+    /// Returns the tallies of this node and those peers whose start `includes` accepts.
+    fn tallies(&self, includes: impl Fn(u64) -> bool) -> (Tally, Tally) {
         let (mut new, mut old) = (self.new, self.old);
-        for (peer_new, peer_old) in self.peer_tallies.values() {
-            new.add(*peer_new);
-            old.add(*peer_old);
+        for ((_, start), (peer_new, peer_old)) in &self.peer_tallies {
+            if includes(*start) {
+                new.add(*peer_new);
+                old.add(*peer_old);
+            }
         }
         (new, old)
     }
 
+    fn report(&self, service: &Arc<str>, (new, old): (Tally, Tally), now: Duration) -> Report {
+        Report {
+            service: service.clone(),
+            revision: self.revision,
+            new,
+            old,
+            reverted: self.phase == Phase::Reverted,
+            completed: self.phase == Phase::Completed,
+            elapsed_ms: self.elapsed(now).as_millis() as u64,
+        }
+    }
+
     /// Reverts the roll-out if the new version has significantly more bad responses than tolerated.
     fn revert_if_bad(&mut self) {
         if self.phase != Phase::InProgress {
@@ -314,14 +334,17 @@
 
     /// Returns the reports on all roll-outs for the peers and for nodes that start later.
     pub fn reports(&self, now: Duration) -> Vec<Report> {
-        let report = |(service, shift): (&Arc<str>, &Shift)| Report {
-            service: service.clone(),
-            revision: shift.revision,
-            new: shift.new,
-            old: shift.old,
-            reverted: shift.phase == Phase::Reverted,
-            completed: shift.phase == Phase::Completed,
-            elapsed_ms: shift.elapsed(now).as_millis() as u64,
+        let report = |(service, shift): (&Arc<str>, &Shift)| {
+            shift.report(service, (shift.new, shift.old), now)
+        };
+        self.shifts.iter().map(report).collect()
+    }
+
+    /// Returns the reports on all roll-outs for other failure domains, with the sums of this node and its
+    /// direct peers.
+    pub fn domain_reports(&self, now: Duration) -> Vec<Report> {
+        let report = |(service, shift): (&Arc<str>, &Shift)| {
+            shift.report(service, shift.tallies(|start| start != DOMAIN_START), now)
         };
         self.shifts.iter().map(report).collect()
     }
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -11,9 +11,13 @@
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
-/// Identifies one run of a node by its name and its start in milliseconds of Unix time.
+/// Identifies one run of a node by its name and its start in milliseconds of Unix time, or the sum of a
+/// failure domain by its name and `DOMAIN_START`.
 pub type Source = (Arc<str>, u64);
 
+/// Start of the sources that are sums of other failure domains.
+pub const DOMAIN_START: u64 = 0;
+
 #[derive(Debug, Default)]
 pub struct Usage {
     own: BTreeMap<u64, Counts>,
@@ -36,6 +40,44 @@
         }
     }
 
+    /// Merges the sums of another failure domain for a window. Several nodes report them, and one that
+    /// started lately knows less, so the largest count of each tenant stands.
+    pub fn merge_domain(&mut self, domain: &Arc<str>, window: u64, counts: Counts) {
+        let sources = self.peers.entry(window).or_default();
+        let known = sources.entry((domain.clone(), DOMAIN_START)).or_default();
+        for (tenant, count) in counts {
+            let known = known.entry(tenant).or_default();
+            *known = (*known).max(count);
+        }
+        while self.peers.len() > KEPT_WINDOWS {
+            self.peers.pop_first();
+        }
+    }
+
+    /// Drops restored sums of this node's own failure domain, whose other nodes report their counts.
+    pub fn forget_domain(&mut self, domain: &Arc<str>) {
+        for sources in self.peers.values_mut() {
+            sources.remove(&(domain.clone(), DOMAIN_START));
+        }
+    }
+
+    /// Returns the sums over this node and its direct peers for the newest windows.
+    pub fn domain_sums(&self, newest: usize) -> Vec<(u64, Counts)> {
+        let mut sums: BTreeMap<u64, Counts> = BTreeMap::new();
+        let own = self.own.iter().rev().take(newest);
+        let peers = self.peers.iter().rev().take(newest).flat_map(|(window, sources)| {
+            let nodes = sources.iter().filter(|((_, start), _)| *start != DOMAIN_START);
+            nodes.map(move |(_, counts)| (window, counts))
+        });
+        for (window, counts) in own.chain(peers) {
+            let sum = sums.entry(*window).or_default();
+            for (tenant, count) in counts {
+                *sum.entry(tenant.clone()).or_default() += count;
+            }
+        }
+        sums.into_iter().rev().take(newest).collect()
+    }
+
     /// Adds counts read from the store, unless their source has already gossiped its counts.
     pub fn restore(&mut self, source: Source, window: u64, counts: Counts) {
         self.peers.entry(window).or_default().entry(source).or_insert(counts);
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -24,7 +24,7 @@
 }
 
 fn batch(version: u64, changes: Vec<Change>) -> Batch<Change> {
-    Batch { changes, version, is_complete: false }
+    Batch { changes, version, newest_change: version, is_complete: false }
 }
 
 fn gone(version: u64) -> Notice {
@@ -37,7 +37,7 @@
 fn stale_reads_are_ignored() {
     let mut notices = Notices::default();
     notices.apply_batch(batch(10, vec![endpoint(false)]));
-    assert_eq!(notices.apply_notice(gone(14)), Some(Change::Removed("e".into())));
+    assert_eq!(notices.apply_notice(gone(14), NOW), Some(Change::Removed("e".into())));
     assert_eq!(notices.apply_batch(batch(12, vec![endpoint(false)])), vec![]);
     let returned = notices.apply_batch(batch(16, vec![endpoint(false)]));
     assert_eq!(returned, vec![endpoint(false)], "a newer read takes effect");
@@ -48,12 +48,16 @@
 fn repeated_notices_are_ignored() {
     let mut notices = Notices::default();
     notices.apply_batch(batch(10, vec![]));
-    assert_eq!(notices.apply_notice(gone(9)), None, "the node has read a later version itself");
-    assert!(notices.apply_notice(gone(14)).is_some());
-    assert_eq!(notices.apply_notice(gone(14)), None, "received twice");
-    assert_eq!(notices.apply_notice(gone(13)), None, "received late from another peer");
+    assert_eq!(
+        notices.apply_notice(gone(9), NOW),
+        None,
+        "the node has read a later version itself"
+    );
+    assert!(notices.apply_notice(gone(14), NOW).is_some());
+    assert_eq!(notices.apply_notice(gone(14), NOW), None, "received twice");
+    assert_eq!(notices.apply_notice(gone(13), NOW), None, "received late from another peer");
     notices.apply_batch(batch(20, vec![]));
-    assert_eq!(notices.apply_notice(gone(15)), None, "a later version was read since");
+    assert_eq!(notices.apply_notice(gone(15), NOW), None, "a later version was read since");
 }
 
 /// Guards against peers that expect an endpoint to leave later than it does because the notice doesn't
@@ -74,8 +78,9 @@
 fn complete_lists_replace_notices() {
     let mut notices = Notices::default();
     notices.apply_batch(batch(10, vec![]));
-    notices.apply_notice(gone(14));
-    let complete = Batch { changes: vec![endpoint(false)], version: 12, is_complete: true };
+    notices.apply_notice(gone(14), NOW);
+    let complete =
+        Batch { changes: vec![endpoint(false)], version: 12, newest_change: 12, is_complete: true };
     assert_eq!(notices.apply_batch(complete), vec![endpoint(false)]);
 }
 
@@ -88,6 +93,24 @@
     reader.publish(&changes, |_| true, NOW);
     let outgoing = reader.outgoing(NOW);
     let applied: Vec<_> =
-        outgoing.into_iter().filter_map(|notice| peer.apply_notice(notice)).collect();
+        outgoing.into_iter().filter_map(|notice| peer.apply_notice(notice, NOW)).collect();
     assert_eq!(applied, vec![endpoint(true)]);
 }
+
+/// Guards against a change that some nodes never hear of: the node that read it dies, and the node that
+/// reads the store from then on knows it from a peer.
+#[test]
+fn new_reader_repeats_notices() {
+    let mut notices = Notices::default();
+    notices.apply_batch(batch(10, vec![]));
+    notices.report(false, NOW);
+    assert!(notices.apply_notice(gone(14), NOW).is_some());
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(notices.report(false, later), later - Duration::from_secs(3));
+    assert!(notices.outgoing(later).is_empty());
+    let covered_since = notices.report(true, later);
+    assert!(covered_since <= NOW, "peers that know less have to read the store themselves");
+    let sent: Vec<_> = notices.outgoing(later).into_iter().map(|it| it.version).collect();
+    assert_eq!(sent, [14]);
+    assert!(notices.outgoing(later + Duration::from_secs(1)).is_empty());
+}
--- a/tests/quota_window.rs
+++ b/tests/quota_window.rs
@@ -63,7 +63,7 @@
     let now = Duration::from_secs(100);
     let mut quotas = new_quotas(false, now);
     assert!(quotas.admit("a", 400_000, now).is_err(), "the history is not known yet");
-    quotas.adopt_sums(Duration::from_secs(60), &[("a".into(), 200_000)], now);
+    quotas.adopt_profiles(Duration::from_secs(60), &[("a".into(), [50_000; 4])], now);
     assert_eq!(quotas.admit("a", 400_000, now), Ok(()));
 }
 
@@ -114,20 +114,72 @@
 fn stored_sums_are_restored() {
     let mut before = new_quotas(true, Duration::from_secs(100));
     let mut admitted = overload(&mut before, 100_000, 107_000);
-    let sums = before.sums(Duration::from_millis(107_000));
+    let profiles = before.profiles(Duration::from_millis(107_000));
     let start = Duration::from_millis(108_500);
     let mut quotas = new_quotas(false, start);
     let (age, max_lag) = (Duration::from_millis(1_500), Duration::from_millis(1_200));
-    assert!(quotas.restore(&sums, age, max_lag, start));
+    assert!(quotas.restore(&profiles, age, max_lag, start));
     admitted.extend(overload(&mut quotas, 108_500, 117_000));
     let max_sum = max_window_sum(&admitted);
     assert!((max_sum as f64) < BOUND, "{max_sum} units in a window, {BOUND} allowed");
 
     let mut quotas = new_quotas(false, start);
-    assert!(quotas.restore(&[("a".into(), 200_000)], age, max_lag, start));
+    assert!(quotas.restore(&[("a".into(), [50_000; 4])], age, max_lag, start));
     assert_eq!(quotas.admit("a", 300_000, start), Ok(()), "little was admitted before");
 }
 
+/// Guards against a restarted node that counts units as expired which its peers admitted lately: a tenant
+/// sent many times its usual traffic for the two seconds before the restart. Seen as a QUOTA failure on
+/// scale-2 of koinos-photo.
+#[test]
+fn adopted_units_keep_age() {
+    let mut peer = new_quotas(true, Duration::from_secs(100));
+    let admitted = overload(&mut peer, 100_000, 102_000);
+    let total: u64 = admitted.iter().map(|(_, units)| units).sum();
+    let start = Duration::from_millis(102_000);
+    let mut quotas = new_quotas(false, start);
+    quotas.adopt_profiles(Duration::from_secs(60), &peer.domain_profiles(start), start);
+    let later = Duration::from_millis(107_000);
+    assert!(quotas.admit("a", 0, later).is_ok());
+    let (used, _) = quotas.usage("a");
+    assert!(used >= total, "{used} of {total} units count 5 s later, in a window of 8 s");
+}
+
+/// Guards against a restarted node that knows only what one peer admitted, which was cut off from the
+/// others: all live peers report their own units.
+#[test]
+fn cut_off_peers_add_up() {
+    let now = Duration::from_secs(100);
+    let uptime = Duration::from_secs(60);
+    let mut quotas = new_quotas(false, now);
+    let window = |units: u64| [(Arc::from("a"), [0, 0, 0, units])];
+    quotas.adopt_profiles(uptime, &window(300_000), now);
+    for (peer, own) in [("b", 300_000), ("c", 250_000), ("d", 200_000)] {
+        quotas.learn_own_sums(&peer.into(), uptime, &[("a".into(), own)], now);
+    }
+    assert_eq!(quotas.usage("a").0, 750_000);
+    assert!(quotas.admit("a", 200_000, now).is_err(), "the limit of a window is 900,000");
+}
+
+/// Guards against counting another failure domain twice while a new relay reports for it, and against
+/// forgetting what it admitted when it falls silent.
+#[test]
+fn domain_sums_count_once() {
+    let at = |ms: u64| Duration::from_millis(100_000 + ms);
+    let mut quotas = new_quotas(true, at(0));
+    let domain: Arc<str> = "east".into();
+    let sums = |units: u64| [(Arc::from("a"), units)];
+    quotas.set_domain_sums(&domain, &"b".into(), &sums(500_000), at(0));
+    // A relay that has started lately knows less than the one before it.
+    quotas.set_domain_sums(&domain, &"c".into(), &sums(100_000), at(400));
+    assert_eq!(quotas.usage("a").0, 500_000);
+    assert!(quotas.admit("a", 500_000, at(500)).is_err());
+    assert_eq!(quotas.admit("a", 300_000, at(500)), Ok(()));
+    quotas.set_domain_sums(&domain, &"c".into(), &sums(450_000), at(2_000));
+    assert_eq!(quotas.usage("a").0, 750_000, "the old relay is silent");
+    assert!(quotas.admit("a", 200_000, at(8_000)).is_err(), "the domain is silent for 6 s");
+}
+
 const NODES: u64 = 30;
 const LARGE_RATE: f64 = 700_000.0;
 /// Interval between heartbeats of a node, minimum interval between quota updates, and latency of a
@@ -215,7 +267,7 @@
     let stored = 500_000;
     let restore = |node: &mut Quotas| {
         let zero = Duration::ZERO;
-        assert!(node.restore(&[("a".into(), stored)], zero, zero, now));
+        assert!(node.restore(&[("a".into(), [stored / 4; 4])], zero, zero, now));
     };
     // One node receives the totals of the others before it reads the store, the others after it.
     nodes[1..].iter_mut().for_each(restore);
