Count only the outage of the node that read a removal

Change: a notice carries the outage of the node that sends it; an entry that is back after an outage is told again.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -68,6 +68,14 @@
     outage_age_ms: Option<u32>,
 }
 
+impl Reading {
+    /// Returns the time of the last failed read.
+    pub fn outage(&self, now: Duration) -> Option<Duration> {
+        let age = Duration::from_millis(u64::from(self.outage_age_ms?));
+        Some(now.saturating_sub(age))
+    }
+}
+
 /// Returns what this node reports about its own reads; `None` unless both are recent.
 pub fn own_reading(node: &Node, now: Duration) -> Option<Reading> {
     let reading = recent_reading(node, now);
@@ -108,9 +116,6 @@
     let Some(delay) = receipt.delay else { return };
     let time_of =
         |age_ms: u32| now.saturating_sub(delay + Duration::from_millis(u64::from(age_ms)));
-    if let Some(age_ms) = reading.outage_age_ms {
-        node.roster.borrow_mut().record_store_outage(time_of(age_ms));
-    }
     let declarations = Some(time_of(reading.declarations_age_ms));
     if reading.declared == known.version.get() && node.declarations_read_at.get().is_some() {
         node.declarations_read_at.set(node.declarations_read_at.get().max(declarations));
@@ -261,7 +266,8 @@
                 if own_read_at.is_some() {
                     publish_changes(&node, &changes);
                 }
-                apply_changes(&node, changes, is_complete);
+                let outage = node.roster.borrow().last_outage();
+                apply_changes(&node, changes, is_complete, outage);
                 node.endpoints_read_at.set(node.endpoints_read_at.get().max(Some(sent)));
                 node.own_endpoints_read_at.set(Some(sent));
                 if own_read_at.is_none() {
@@ -297,7 +303,10 @@
 fn publish_changes(node: &Node, changes: &[Change]) {
     let roster = node.roster.borrow();
     let is_relevant = |change: &Change| match (change, roster.get(change.id())) {
-        (Change::Updated(endpoint), Some(known)) => known.endpoint != *endpoint,
+        // Peers drop an entry that is missing, unless they are told that it is back.
+        (Change::Updated(endpoint), Some(known)) => {
+            known.endpoint != *endpoint || known.is_missing()
+        }
         (Change::Updated(_), None) => true,
         (Change::Removed(_), known) => known.is_some(),
     };
@@ -305,7 +314,14 @@
 }
 
 /// Applies endpoint changes that a peer has read, unless this node knows them.
-pub fn apply_peer_changes(node: &Rc<Node>, peer: &str, notices: Vec<Notice>) {
+///
+/// `outage` is the time of that peer's last failed read of the store.
+pub fn apply_peer_changes(
+    node: &Rc<Node>,
+    peer: &str,
+    notices: Vec<Notice>,
+    outage: Option<Duration>,
+) {
     let now = clock::now();
     let mut own = node.notices.borrow_mut();
     let changes: Vec<_> =
@@ -313,11 +329,16 @@
     drop(own);
     if !changes.is_empty() {
         log::debug!("follow: event=endpoints_told peer={peer} changes={}", changes.len());
-        apply_changes(node, changes, false);
+        apply_changes(node, changes, false, outage);
     }
 }
 
-fn apply_changes(node: &Rc<Node>, changes: Vec<Change>, is_complete: bool) {
+fn apply_changes(
+    node: &Rc<Node>,
+    changes: Vec<Change>,
+    is_complete: bool,
+    outage: Option<Duration>,
+) {
     let now = clock::now();
     let drain = node.settings.bounds.drain;
     let mut roster = node.roster.borrow_mut();
@@ -334,7 +355,7 @@
                 }
                 Change::Removed(_) => {}
             }
-            if let Some(id) = roster.apply(change, drain, now) {
+            if let Some(id) = roster.apply_read(change, outage, drain, now) {
                 has_departures = true;
                 log::debug!("follow: event=endpoint_leaving endpoint={id}");
             }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -107,9 +107,17 @@
     /// Prompt tokens to prefill for callers since the relay started, by service.
     demand: Vec<(Arc<str>, u64)>,
     endpoints: Vec<Notice>,
+    /// Time since the relay's last failed read of the store, if any.
+    outage_age_ms: Option<u64>,
     rollouts: Vec<shift::Report>,
 }
 
+impl Digest {
+    fn outage(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(Duration::from_millis(self.outage_age_ms?)))
+    }
+}
+
 /// Admitted units that a node sends between two heartbeats while a quota is nearly exhausted.
 #[derive(Debug, Serialize, Deserialize)]
 struct QuotaUpdate {
@@ -274,6 +282,7 @@
     for (endpoint, load) in own.chain(peers.direct_loads(now).cloned()) {
         loads.entry(endpoint).or_default().add(load);
     }
+    let outage = node.roster.borrow().last_outage();
     let usage_windows = if sequence.is_multiple_of(FULL_EVERY) { USAGE_WINDOWS } else { 0 };
     Digest {
         format: DIGEST_FORMAT,
@@ -289,6 +298,7 @@
         loads: loads.into_iter().collect(),
         demand: node.demand.borrow().domain_totals(),
         endpoints: node.notices.borrow_mut().outgoing(now),
+        outage_age_ms: outage.map(|outage| now.saturating_sub(outage).as_millis() as u64),
         rollouts: node.shifts.borrow().domain_reports(now),
     }
 }
@@ -395,7 +405,8 @@
     node.shifts.borrow_mut().merge_peer(source.0, source.1, heartbeat.rollouts, now);
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
-    follow::apply_peer_changes(node, &heartbeat.node, heartbeat.endpoints);
+    let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
+    follow::apply_peer_changes(node, &heartbeat.node, heartbeat.endpoints, outage);
     if let Some(reading) = heartbeat.reading {
         follow::apply_reading(node, &reading, receipt, now);
     }
@@ -417,6 +428,7 @@
     if !node.peers.borrow_mut().record_digest(&summary, now) {
         return false;
     }
+    let outage = digest.outage(now);
     let domain = &digest.domain;
     let mut quotas = node.quotas.borrow_mut();
     quotas.set_domain_sums(domain, &digest.node, &digest.window_sums, now);
@@ -429,6 +441,6 @@
     }
     let start = crate::gateway::usage::DOMAIN_START;
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
-    follow::apply_peer_changes(node, &digest.node, digest.endpoints);
+    follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -120,6 +120,11 @@
         !self.endpoint.draining && is_present && !self.health.is_paused(now)
     }
 
+    /// Returns whether the endpoint's entry disappeared after a store outage.
+    pub fn is_missing(&self) -> bool {
+        self.missing_until.is_some()
+    }
+
     /// Returns whether the endpoint is listed and not draining, whatever its health.
     pub fn is_listed(&self) -> bool {
         !self.endpoint.draining && self.missing_until.is_none()
@@ -138,10 +143,10 @@
 impl Roster {
     /// Records a failed read of the store; entries that disappear soon after may come back.
     pub fn record_store_outage(&mut self, now: Duration) {
-        self.last_outage = self.last_outage.max(Some(now));
+        self.last_outage = Some(now);
     }
 
-    /// Returns the time of the last failed read of the store, by this node or as a peer reported it.
+    /// Returns the time of this node's last failed read of the store.
     pub fn last_outage(&self) -> Option<Duration> {
         self.last_outage
     }
@@ -150,6 +155,20 @@
     ///
     /// An endpoint that doesn't report when it will be gone is assumed to stay for `drain`.
     pub fn apply(&mut self, change: Change, drain: Duration, now: Duration) -> Option<Arc<str>> {
+        self.apply_read(change, self.last_outage, drain, now)
+    }
+
+    /// Applies a change that was read by a node whose last failed read of the store was at `outage`.
+    ///
+    /// Only that node knows whether an entry disappeared because of an outage: another one may have been
+    /// cut off from a store that works.
+    pub fn apply_read(
+        &mut self,
+        change: Change,
+        outage: Option<Duration>,
+        drain: Duration,
+        now: Duration,
+    ) -> Option<Arc<str>> {
         match change {
             Change::Updated(endpoint) => {
                 let id = endpoint.id.clone();
@@ -173,7 +192,7 @@
                 leaving
             }
             Change::Removed(id) => {
-                let until = self.last_outage.map(|outage| outage + REREGISTER_TIME);
+                let until = outage.map(|outage| outage + REREGISTER_TIME);
                 let until = until.filter(|until| now < *until);
                 if let Some(until) = until
                     && let Some(entry) = self.entries.get_mut(&id)
--- a/tests/roster_health.rs
+++ b/tests/roster_health.rs
@@ -33,6 +33,22 @@
     usable.map(|entry| entry.endpoint.id.clone()).collect()
 }
 
+/// Guards against requests to an endpoint that left, because a node that was cut off from the store told of
+/// an outage: only the outage of the node that read the removal counts. Seen as a DRAIN failure on
+/// deploy/days/leader-cuts.toml of koinos-photo, seed 681719437785.
+#[test]
+fn outage_of_another_reader() {
+    let mut roster = Roster::default();
+    roster.apply(endpoint("e", false, 1), DRAIN, at(0));
+    roster.apply(endpoint("f", false, 1), DRAIN, at(0));
+    roster.record_store_outage(at(900));
+    roster.apply_read(Change::Removed("e".into()), None, DRAIN, at(1_000));
+    assert_eq!(usable(&roster, 1_000), ["f".into()], "the reader of the removal had no outage");
+    roster.apply_read(Change::Removed("f".into()), Some(at(950)), DRAIN, at(1_000));
+    assert_eq!(usable(&roster, 1_000), ["f".into()], "its entry may come back");
+    assert!(usable(&roster, 3_000).is_empty());
+}
+
 /// Guards against new requests to an endpoint that is draining.
 #[test]
 fn draining_gets_no_requests() {
