Log the evidence on which a version gets more traffic

The logs showed the counts of a roll-out only when it was reverted, so they could not tell evidence that is never counted from evidence that is lost or too weak.

Change: event=evidence states the counts of both versions, the own part and the number of reports whenever the share changes.

--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -159,14 +159,35 @@
         if self.phase == Phase::InProgress {
             let fraction = self.elapsed_fraction(now);
             let has_enough_responses = self.total_tallies().0.good >= MIN_GOOD_RESPONSES;
-            self.share = match fraction {
+            let share = match fraction {
                 fraction if fraction < RAMP_START => CANARY_SHARE,
                 fraction if fraction < FULL_START || !has_enough_responses => RAMP_SHARE,
                 _ => 1.0,
             };
+            if share != std::mem::replace(&mut self.share, share) {
+                self.log_evidence(now);
+            }
         }
     }
 
+    /// Logs what the next step of the roll-out is based on.
+    fn log_evidence(&self, now: Duration) {
+        let (new, old) = self.total_tallies();
+        log::info!(
+            "shift: event=evidence version={} share={} elapsed_ms={} new_bad={} new_good={} old_bad={} \
+             old_good={} own_new={} reports={}",
+            self.version,
+            self.share,
+            self.elapsed(now).as_millis(),
+            new.bad,
+            new.good,
+            old.bad,
+            old.good,
+            self.new.good + self.new.bad,
+            self.peer_tallies.len()
+        );
+    }
+
     /// Returns whether the roll-out has run long enough and has enough good responses to complete.
     fn can_complete(&self, now: Duration) -> bool {
         self.elapsed_fraction(now) >= COMPLETION_START
