Count requests that a version leaves without an answer

What callers saw: a version that never answers stays in progress until its deadline, and its requests end only when their callers leave.

Cause: a request that was dropped before its response, because its caller left or its deadline passed, recorded no sample. A stream that fell silent after its first events recorded none either.

Change: a placement that is dropped while it waits records the time it waited; a stream that its caller or deadline ends records the time since its last event. Refusals, unsent requests and answers to other requests still count as nothing.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -291,9 +291,13 @@
         }
     };
     let request = build_request(node, context, &placement.endpoint, resume);
+    placement.await_response();
     let response = match connection.send(request).await {
         Ok(response) => response,
-        Err(Failure::NotRun(reason)) => return Attempt::Unsent(reason),
+        Err(Failure::NotRun(reason)) => {
+            placement.ignore_response();
+            return Attempt::Unsent(reason);
+        }
         Err(Failure::Unknown(reason)) => {
             placement.record_failure();
             return Attempt::Unknown(reason);
@@ -301,10 +305,12 @@
     };
     let reply = (node.header_codec.parse_reply)(response.status(), response.headers());
     if reply.id.as_ref().is_some_and(|id| *id != context.metadata.id) {
+        placement.ignore_response();
         return Attempt::Unknown("response carries the id of another request".to_owned());
     }
     let guard = Guard::new(pool, connection);
     if reply.is_not_run {
+        placement.ignore_response();
         let status = response.status();
         drain_body(response.into_body(), guard).await;
         return Attempt::Refused(format!("status {}", status.as_u16()));
@@ -381,6 +387,7 @@
         let first_events = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(data)),
             None if splitter.is_at_event_boundary() => {
+                placement.ignore_response();
                 guard.release();
                 let first_events = Bytes::new();
                 let stream = Stream {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,6 +45,8 @@
     /// Conditions of the samples for a roll-out of the service.
     conditions: Conditions,
     has_started: Cell<bool>,
+    /// Whether the endpoint has the request and neither a response nor a failure has been recorded.
+    is_awaited: Cell<bool>,
 }
 
 impl Placement {
@@ -73,8 +75,20 @@
         self.has_started.set(true);
     }
 
+    /// Marks the request as sent. If it is dropped before its response, because its caller left or its
+    /// time was over, the time that it waited counts.
+    pub fn await_response(&self) {
+        self.is_awaited.set(true);
+    }
+
+    /// Marks the request as ended without evidence about the endpoint's version.
+    pub fn ignore_response(&self) {
+        self.is_awaited.set(false);
+    }
+
     /// Counts a sample for the endpoint's version, as evidence for a roll-out.
     fn record_sample(&self, sample: Sample) {
+        self.is_awaited.set(false);
         let Endpoint { service, version, .. } = &self.endpoint;
         self.node.shifts.borrow_mut().record(service, version, self.conditions, sample);
     }
@@ -117,6 +131,9 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
+        if self.is_awaited.get() {
+            self.record_sample(Sample::Start(self.elapsed(clock::now()).1));
+        }
         self.node.balancer.borrow_mut().end_request(&self.endpoint.id, self.load);
         self.node.release_capacity(&self.endpoint.service);
     }
@@ -358,5 +375,6 @@
             &context.route.name,
         ),
         has_started: Cell::new(false),
+        is_awaited: Cell::new(false),
     })
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -139,25 +139,32 @@
 /// Measures the pace of a stream from its first events.
 struct Pace {
     first_at: Duration,
+    last_at: Duration,
     first_count: u32,
     is_recorded: bool,
 }
 
 impl Pace {
     fn new(stream: &Stream) -> Pace {
+        let now = clock::now();
         let first_count = stream.splitter.event_count;
-        Pace { first_at: clock::now(), first_count, is_recorded: false }
+        Pace { first_at: now, last_at: now, first_count, is_recorded: false }
     }
 
     /// Records the pace once `min_events` have followed the first ones.
-    fn record(&mut self, stream: &Stream, min_events: u32) {
+    fn record_events(&mut self, stream: &Stream, min_events: u32) {
+        self.last_at = clock::now();
         let events = stream.splitter.event_count - self.first_count;
         if !self.is_recorded && events >= min_events {
             self.is_recorded = true;
-            let elapsed = clock::now().saturating_sub(self.first_at);
-            stream.placement.record_pace(elapsed / events);
+            stream.placement.record_pace((self.last_at - self.first_at) / events);
         }
     }
+
+    /// Records the time since the last event of a stream that its caller or its deadline ends.
+    fn record_silence(&self, stream: &Stream) {
+        stream.placement.record_pace(clock::now().saturating_sub(self.last_at));
+    }
 }
 
 /// Forwards the events of one endpoint until they end or the stream is handed over.
@@ -186,8 +193,14 @@
     loop {
         let frame = tokio::select! {
             frame = stream.body.frame() => frame,
-            () = sender.closed() => return End::CallerGone,
-            () = deadline.as_mut() => return End::TimedOut,
+            () = sender.closed() => {
+                pace.record_silence(stream);
+                return End::CallerGone;
+            }
+            () = deadline.as_mut() => {
+                pace.record_silence(stream);
+                return End::TimedOut;
+            }
             // Fails only if the sender is dropped, and the node keeps it.
             Ok(()) = departures.changed(), if can_hand_over && pending.is_none() => {
                 schedule_handover(node, stream, &mut handover_timer);
@@ -212,7 +225,7 @@
                     return End::Broken("an event exceeds the size limit".to_owned());
                 }
                 let Some(whole_events) = whole_events else { continue };
-                pace.record(stream, PACE_EVENTS);
+                pace.record_events(stream, PACE_EVENTS);
                 if sender.send(Ok(whole_events)).await.is_err() {
                     return End::CallerGone;
                 }
@@ -225,7 +238,7 @@
                 }
             }
             ended => {
-                pace.record(stream, 1);
+                pace.record_events(stream, 1);
                 return classify_end(stream, ended.map(|frame| frame.map(drop)));
             }
         }
