Quarantine prompt parts that crash endpoints

What callers saw: requests with one part in their prompts crashed endpoint after endpoint, each with all streams that ran there.

Cause: nothing connected the end of an endpoint with the request that waited on it. Each such request was new to the nodes, so all were sent on, and on resumable routes sent again.

Change: when a request fails before its answer has begun, the node checks whether the endpoint refuses connections. Nodes exchange these crashes, with the shared parts of the requests that waited there, and the last starts of the parts. A part is quarantined after three crashes since its last start, five if answers with it began before; endpoints that end together count once, and what a quarantined part explains is no evidence against its companions. Requests with it get 503 at once. A suspect is not sent again.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::pool::{Failure, Guard};
 use crate::gateway::catalog::Kind;
 use crate::gateway::clock;
+use crate::gateway::crash;
 use crate::gateway::demand;
 use crate::gateway::handle::{self, Active, Context, Refusal};
 use crate::gateway::node::Node;
@@ -103,6 +104,11 @@
                 Err(refusal) => return give_up(&node, &context, &history, failed, refusal),
             },
         };
+        // The part may have been quarantined while the request waited.
+        if let Some(refusal) = crash::refusal(&node, &context) {
+            return give_up(&node, &context, &history, failed, refusal);
+        }
+        crash::record_sent(&node, &context);
         let endpoint = placement.endpoint.id.clone();
         history.tried.push(endpoint.clone());
         history.sent += 1;
@@ -140,7 +146,8 @@
             Attempt::Unknown(reason) => {
                 log_attempt(&context, &endpoint, "unknown", &reason);
                 history.may_have_run = true;
-                let repeatable = context.route.is_retryable();
+                let repeatable =
+                    context.route.is_retryable() && !crash::is_suspect(&node, &context);
                 if repeatable && take_retry(&node, &context, &mut history, &endpoint, "unknown") {
                     continue;
                 }
@@ -241,8 +248,15 @@
     resume: Resume,
 ) -> Attempt {
     let remaining = context.deadline.saturating_sub(clock::now());
-    match tokio::time::timeout(remaining, exchange(node, context, placement, resume)).await {
-        Ok(attempt) => attempt,
+    let endpoint = placement.endpoint.clone();
+    let exchange = exchange(node, context, placement, resume);
+    match tokio::time::timeout(remaining, exchange).await {
+        Ok(attempt) => {
+            if matches!(attempt, Attempt::Unknown(_)) {
+                crash::investigate(node, context, &endpoint);
+            }
+            attempt
+        }
         Err(_) => Attempt::TimedOut,
     }
 }
@@ -355,6 +369,7 @@
         guard.release();
     }
     record_usage(node, context, placement.began);
+    crash::record_start(node, context);
     if head.status.is_server_error() {
         // A service may fail single requests while the endpoint is healthy; the share of failures decides.
         placement.record_failure();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,10 +15,12 @@
 
 use crate::gateway::balancer::Load;
 use crate::gateway::clock;
+use crate::gateway::crash;
 use crate::gateway::follow::{self, Reading};
 use crate::gateway::node::Node;
 use crate::gateway::notice::Notice;
 use crate::gateway::peers::{Beat, DIGEST_INTERVAL, Summary};
+use crate::gateway::quarantine;
 use crate::gateway::quota;
 use crate::gateway::shift;
 
@@ -36,9 +38,9 @@
 /// Largest datagram that a node receives.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 7;
+const HEARTBEAT_FORMAT: u8 = 9;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 8;
+const DIGEST_FORMAT: u8 = 10;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -80,6 +82,7 @@
     endpoints: Vec<Notice>,
     /// State of each roll-out, with the good and bad responses of both versions.
     rollouts: Vec<shift::Report>,
+    quarantine: quarantine::Report,
 }
 
 /// Name, failure domain and address of a node.
@@ -110,6 +113,7 @@
     /// Time since the relay's last failed read of the store, if any.
     outage_age_ms: Option<u64>,
     rollouts: Vec<shift::Report>,
+    quarantine: quarantine::Report,
 }
 
 impl Digest {
@@ -209,6 +213,7 @@
         demand,
         endpoints,
         rollouts: node.shifts.borrow().reports(now),
+        quarantine: node.quarantine.borrow_mut().report(now),
     }
 }
 
@@ -301,6 +306,7 @@
         endpoints: node.notices.borrow_mut().outgoing(now),
         outage_age_ms: outage.map(|outage| now.saturating_sub(outage).as_millis() as u64),
         rollouts: node.shifts.borrow().domain_reports(now),
+        quarantine: node.quarantine.borrow_mut().report(now),
     }
 }
 
@@ -404,6 +410,7 @@
         node.demand.borrow_mut().record_peer(source.0, source.1, service, *total);
     }
     node.shifts.borrow_mut().merge_peer(source.0, source.1, heartbeat.rollouts, now);
+    merge_quarantine(node, source.0, &heartbeat.quarantine, now);
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
     let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
@@ -413,6 +420,11 @@
     }
 }
 
+fn merge_quarantine(node: &Node, peer: &str, report: &quarantine::Report, now: Duration) {
+    let parts = node.quarantine.borrow_mut().merge(report, now);
+    crash::record_quarantined(node, &parts, peer);
+}
+
 /// Applies the sums of another failure domain; returns whether they are new to this node.
 fn apply_digest(node: &Rc<Node>, digest: Digest) -> bool {
     let now = clock::now();
@@ -442,6 +454,7 @@
     }
     let start = crate::gateway::usage::DOMAIN_START;
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
+    merge_quarantine(node, &digest.node, &digest.quarantine, now);
     follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::catalog::{Catalog, Route, Tenant};
 use crate::gateway::clock;
+use crate::gateway::crash;
 use crate::gateway::forward;
 use crate::gateway::node::Node;
 use crate::gateway::platform::Metadata;
@@ -152,9 +153,8 @@
     let Some(service) = route.choose_service(hash).cloned() else {
         return Err((Cause::NoEndpoint, Some(OTHER_NODE_RETRY_AFTER)));
     };
-    charge_quota(node, tenant.as_deref(), &metadata, hash)?;
     let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
-    Ok(Context {
+    let context = Context {
         head,
         body,
         metadata,
@@ -166,7 +166,12 @@
         caller_deadline,
         deadline,
         hash,
-    })
+    };
+    if let Some(refusal) = crash::refusal(node, &context) {
+        return Err(refusal);
+    }
+    charge_quota(node, context.tenant.as_deref(), &context.metadata, hash)?;
+    Ok(context)
 }
 
 fn authenticate(
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
     latencies: Option<HistogramVec>,
     retries: Option<IntCounterVec>,
     judgments: Option<IntCounterVec>,
+    quarantined_parts: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -50,6 +51,11 @@
             "New versions that this node judged bad, by reason.",
             &["reason"],
         );
+        let quarantined_parts = counter(
+            "pomelolink_parts_quarantined_total",
+            "Prompt parts that this node has quarantined because they crash endpoints.",
+            &[],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -89,6 +95,7 @@
             latencies,
             retries,
             judgments,
+            quarantined_parts,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -143,6 +150,12 @@
         }
     }
 
+    pub fn record_quarantined(&self) {
+        if let Some(quarantined_parts) = &self.quarantined_parts {
+            quarantined_parts.with_label_values::<&str>(&[]).inc();
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format, with gauges set from the current state of
     /// the node.
     pub fn text(&self, node: &Rc<Node>) -> String {
@@ -161,6 +174,7 @@
         let waiting = node.waiting.borrow().values().map(|it| it.queue.len()).sum::<usize>();
         set("waiting_requests", waiting as i64);
         set("quota_share_permille", (node.peers.borrow().quota_share(now) * 1_000.0) as i64);
+        set("quarantined_parts", node.quarantine.borrow().quarantined_count() as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -17,6 +17,7 @@
 use crate::gateway::notice::Notices;
 use crate::gateway::peers::Peers;
 use crate::gateway::platform::{HeaderCodec, Platform};
+use crate::gateway::quarantine::Quarantine;
 use crate::gateway::queue::{Queue, Rank};
 use crate::gateway::quota::Quotas;
 use crate::gateway::roster::Roster;
@@ -106,6 +107,7 @@
     pub usage: RefCell<Usage>,
     pub demand: RefCell<Demand>,
     pub shifts: RefCell<Shifts>,
+    pub quarantine: RefCell<Quarantine>,
     pub peers: RefCell<Peers>,
     pub waiting: RefCell<HashMap<Arc<str>, Waiters>>,
     pub pools: Pools,
@@ -161,6 +163,7 @@
             usage: RefCell::default(),
             demand: RefCell::default(),
             shifts: RefCell::new(Shifts::new(settings.bounds.exposure)),
+            quarantine: RefCell::default(),
             peers: RefCell::new(peers),
             waiting: RefCell::default(),
             pools: Pools::default(),
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Sleep, sleep, timeout};
 
 use crate::gateway::clock;
+use crate::gateway::crash;
 use crate::gateway::forward::{self, Attempt, History, Resume, Stream};
 use crate::gateway::handle::{Active, Context};
 use crate::gateway::handover::{self, Handover};
@@ -24,6 +25,9 @@
 /// Number of events over which the pace of a stream is measured. Few suffice, and a slow stream may last longer
 /// than a roll-out.
 const PACE_EVENTS: u32 = 8;
+/// Number of events that show that an answer has begun. An endpoint that crashes on a prompt may still send
+/// the first one.
+const START_EVENTS: u32 = 2;
 /// Delay of a timer that isn't set; no stream runs that long.
 const UNSET_DELAY: Duration = Duration::from_secs(86_400);
 
@@ -95,6 +99,9 @@
             End::Handover(it) => continue_stream(node, context, &mut history, &stream, *it).await,
             End::Broken(reason) => {
                 stream.placement.record_failure();
+                if stream.splitter.event_count < START_EVENTS {
+                    crash::investigate(node, context, &stream.placement.endpoint);
+                }
                 log_event(context, &stream, "stream_broken", &reason);
                 resume(node, context, &mut history, &stream).await
             }
@@ -186,11 +193,16 @@
     let mut handover_timer = Box::pin(sleep(UNSET_DELAY));
     let mut pending: Option<PendingHandover> = None;
     let mut pace = Pace::new(stream);
+    let mut has_started = false;
     let can_hand_over = supports_handover(node, context);
     if can_hand_over {
         schedule_handover(node, stream, &mut handover_timer);
     }
     loop {
+        if !has_started && stream.splitter.event_count >= START_EVENTS {
+            has_started = true;
+            crash::record_start(node, context);
+        }
         let frame = tokio::select! {
             frame = stream.body.frame() => frame,
             () = sender.closed() => {
@@ -239,7 +251,11 @@
             }
             ended => {
                 pace.record_events(stream, 1);
-                return classify_end(stream, ended.map(|frame| frame.map(drop)));
+                let end = classify_end(stream, ended.map(|frame| frame.map(drop)));
+                if !has_started && matches!(end, End::Complete) {
+                    crash::record_start(node, context);
+                }
+                return end;
             }
         }
     }
@@ -340,6 +356,10 @@
         return None;
     };
     loop {
+        if crash::is_suspect(node, context) {
+            log_cut(context, &endpoint, "a part of the prompt may crash endpoints");
+            return None;
+        }
         if !forward::take_retry(node, context, history, &endpoint, "stream_broken") {
             log_cut(context, &endpoint, "the attempts, the time or the retry budget are used up");
             return None;
--- a/src/gateway/recall.rs
+++ b/src/gateway/recall.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::clock;
+use crate::gateway::crash;
 use crate::gateway::node::Node;
 use crate::gateway::quota;
 use crate::gateway::shift;
@@ -51,14 +52,19 @@
     /// Phase and elapsed time of each roll-out, without its response counts.
     #[serde(default)]
     pub shifts: Vec<shift::Report>,
+    /// Prompt parts in quarantine with the milliseconds since their last crash.
+    #[serde(default)]
+    pub quarantined: Vec<(u64, u64)>,
 }
 
 impl Snapshot {
     /// Splits the snapshot into parts that each fit into a row.
     pub fn split(self) -> Vec<Snapshot> {
         let empty = Snapshot { true_ms: self.true_ms, ..Snapshot::default() };
-        let mut parts = vec![Snapshot { shifts: self.shifts, ..empty.clone() }];
-        let mut size = parts[0].shifts.len() * MAX_REPORT_BYTES;
+        let mut size = self.shifts.len() * MAX_REPORT_BYTES + self.quarantined.len() * ENTRY_BYTES;
+        let first =
+            Snapshot { shifts: self.shifts, quarantined: self.quarantined, ..empty.clone() };
+        let mut parts = vec![first];
         let mut place = |bytes: usize, add: &mut dyn FnMut(&mut Snapshot)| {
             if size > 0 && size + bytes > MAX_PART_BYTES {
                 parts.push(empty.clone());
@@ -134,6 +140,7 @@
             window: node.quotas.borrow_mut().profiles(clock::now()),
             usage: node.usage.borrow().all_counts(&node.source(), USAGE_WINDOWS),
             shifts: node.shifts.borrow().reports_without_evidence(clock::now()),
+            quarantined: node.quarantine.borrow().stored(clock::now()),
             ..Snapshot::default()
         };
         let mut transaction = Transaction::default();
@@ -177,6 +184,7 @@
         };
         if !has_rollouts {
             restore_rollouts(&node, snapshot.shifts.clone(), snapshot.true_ms);
+            restore_quarantine(&node, &snapshot);
             has_rollouts = true;
         }
         if apply(&node, &snapshot) {
@@ -191,6 +199,14 @@
     node.shifts.borrow_mut().restore(rollouts, age, clock::now());
 }
 
+fn restore_quarantine(node: &Node, snapshot: &Snapshot) {
+    let age_ms = node.unix_ms().saturating_sub(snapshot.true_ms);
+    let aged = |(part, part_age_ms): &(u64, u64)| (*part, part_age_ms.saturating_add(age_ms));
+    let stored: Vec<_> = snapshot.quarantined.iter().map(aged).collect();
+    let parts = node.quarantine.borrow_mut().restore(&stored, clock::now());
+    crash::record_quarantined(node, &parts, "snapshot");
+}
+
 /// Applies the counters of the snapshot; returns `false` while the quotas are not configured yet.
 fn apply(node: &Rc<Node>, snapshot: &Snapshot) -> bool {
     for (source, window, counts) in &snapshot.usage {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,6 +27,8 @@
     Stopping,
     /// The request would miss its deadline in the queue or at the endpoints.
     Busy,
+    /// A part of the prompt crashes endpoints.
+    Quarantined,
     /// Endpoints refused the request or could not be reached; it did not run.
     NotRun,
     /// The request may have run, but there is no complete response.
@@ -36,7 +38,7 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 15] = [
+    const ALL: [Cause; 16] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
@@ -49,6 +51,7 @@
         Cause::NoEndpoint,
         Cause::Stopping,
         Cause::Busy,
+        Cause::Quarantined,
         Cause::NotRun,
         Cause::Unknown,
         Cause::Timeout,
@@ -83,6 +86,9 @@
                 "it would have missed the target latency of its route, in the queue or at the endpoints; \
                  see queue_full, queue_late or crowded"
             }
+            Cause::Quarantined => {
+                "a part of its prompt has crashed endpoints; see quarantined and crash: event=checked"
+            }
             Cause::NotRun => "no endpoint accepted it; see unsent and endpoint_refused",
             Cause::Unknown => {
                 "it was sent to an endpoint that gave no complete response, so it may have run; see \
@@ -107,6 +113,7 @@
             Cause::NoEndpoint => "no_endpoint",
             Cause::Stopping => "stopping",
             Cause::Busy => "busy",
+            Cause::Quarantined => "quarantined",
             Cause::NotRun => "not_run",
             Cause::Unknown => "unknown",
             Cause::Timeout => "timeout",
@@ -127,6 +134,7 @@
             | Cause::StaleKeys
             | Cause::NoEndpoint
             | Cause::Busy
+            | Cause::Quarantined
             | Cause::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Unknown => StatusCode::BAD_GATEWAY,
             Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
