Take an empty answer without a length for a broken one

What callers saw: a stream without a length or chunks whose endpoint ended before the first event reached its caller as a complete, empty success.

Cause: the end of the connection ends such an answer, and no pending event means complete. So the end of the endpoint looks like the end of the answer.

Change: without a frame, a stream that isn't resumed needs an event.

Whole answers without a length and streams torn inside an event were handled before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
@@ -304,6 +304,7 @@
             return Attempt::Unsent(reason);
         }
     };
+    let is_resumed = resume.last_event.is_some() || context.metadata.last_event.is_some();
     let request = build_request(node, context, &placement.endpoint, resume);
     placement.await_response();
     let response = match connection.send(request).await {
@@ -335,7 +336,7 @@
         return Attempt::Unknown(format!("response with status {status} has no endpoint seal"));
     }
     if context.route.kind == Kind::Stream && response.status().is_success() {
-        return open_stream(response, guard, placement).await;
+        return open_stream(response, guard, placement, is_resumed).await;
     }
     read_response(node, context, response, guard, placement).await
 }
@@ -389,19 +390,28 @@
     }
 }
 
+/// Returns whether the end of a response is marked in the response itself.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Waits for the first event of a stream; until then another endpoint may still be tried.
 async fn open_stream(
     response: Response<Incoming>,
     mut guard: Guard,
     mut placement: Placement,
+    is_resumed: bool,
 ) -> Attempt {
     let (head, mut body) = response.into_parts();
+    // Only a resumed stream may have no events left; of others without a frame, the end of the connection
+    // may be the end of the endpoint.
+    let may_be_empty = is_resumed || is_framed(&head.headers);
     let mut splitter = Splitter::default();
     let response = Response::from_parts(head, ());
     loop {
         let first_events = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(data)),
-            None if splitter.is_at_event_boundary() => {
+            None if splitter.is_at_event_boundary() && may_be_empty => {
                 placement.ignore_response();
                 guard.release();
                 let first_events = Bytes::new();
