Tell peers that a prompt part was released

What callers saw: after a trial had released a part, nodes other than the one that tried it would have refused it for ten more minutes.

Cause: a report names starts only of parts in crashes of the last ten seconds, and a trial comes ten minutes after them.

Change: a node tells the start of a released part for ten seconds, and again when a peer reports that it still holds the part.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     crashes: Vec<(Run, u64, Parts)>,
-    /// Last start of an answer with a part that the crashes name.
+    /// Last start of an answer with a part that the crashes name or that was released.
     starts: Vec<(u64, u64)>,
     quarantined: Vec<(u64, u64)>,
 }
@@ -79,6 +79,8 @@
     /// Time at which an answer last began with a part.
     starts: HashMap<u64, Duration>,
     quarantined: HashMap<u64, Entry>,
+    /// Parts that peers have to release, with the time since which this node tells them.
+    released: Vec<(u64, Duration)>,
 }
 
 /// Returns the hashes of the parts that other requests may share: all but the last.
@@ -122,7 +124,8 @@
 
     /// Records that an answer to a prompt has begun; returns the parts that this releases from quarantine.
     pub fn record_start(&mut self, prompt: &Prompt, now: Duration) -> Parts {
-        let parts = shared_parts(prompt).filter(|part| self.add_start(*part, now)).collect();
+        let parts: Parts = shared_parts(prompt).filter(|part| self.add_start(*part, now)).collect();
+        parts.iter().for_each(|part| self.announce_release(*part, now));
         self.limit_starts();
         parts
     }
@@ -170,6 +173,7 @@
             recent.map(|crash| (crash.run.clone(), age(crash.at), crash.parts.clone())).collect();
         let mut named: Vec<u64> =
             crashes.iter().flat_map(|(.., parts)| parts.iter().copied()).collect();
+        named.extend(self.released.iter().map(|(part, _)| *part));
         named.sort_unstable();
         named.dedup();
         let start = |part: u64| Some((part, age(*self.starts.get(&part)?)));
@@ -208,7 +212,9 @@
             let age = Duration::from_millis(*age_ms);
             let since = now.saturating_sub(age);
             let has_started = self.starts.get(part).is_some_and(|start| *start > since);
-            if age < 2 * QUARANTINE_TIME && !has_started && self.add_quarantined(*part, since) {
+            if has_started {
+                self.announce_release(*part, now);
+            } else if age < 2 * QUARANTINE_TIME && self.add_quarantined(*part, since) {
                 added.push(*part);
             }
         }
@@ -243,6 +249,14 @@
         is_released
     }
 
+    /// Sends the start of a part that was released to the peers for some time.
+    fn announce_release(&mut self, part: u64, now: Duration) {
+        self.released.retain(|(released, _)| *released != part);
+        if self.released.len() < MAX_QUARANTINED {
+            self.released.push((part, now));
+        }
+    }
+
     /// Drops the older half of the starts when there are too many.
     fn limit_starts(&mut self) {
         if self.starts.len() > MAX_STARTS {
@@ -322,6 +336,7 @@
 
     fn expire(&mut self, now: Duration) {
         self.crashes.retain(|crash| now.saturating_sub(crash.at) < CRASH_LIFETIME);
+        self.released.retain(|(_, at)| now.saturating_sub(*at) < REPORT_TIME);
         let is_kept = |entry: &Entry| now.saturating_sub(entry.since) < 2 * QUARANTINE_TIME;
         self.quarantined.retain(|_, entry| is_kept(entry));
     }
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -189,6 +189,23 @@
     assert!(!refuses(&peer, &[DEADLY], at(4.2)) && !refuses(&node, &[DEADLY], at(4.2)));
 }
 
+/// Guards against nodes that keep refusing a part which a trial has released long after its crashes.
+#[test]
+fn trial_releases_part_everywhere() {
+    let mut node = quarantined();
+    let mut peer = Quarantine::default();
+    peer.merge(&node.report(at(3.1)), at(3.1));
+    let now = at(4.0) + QUARANTINE_TIME;
+    node.start_trial(&request(&[DEADLY], 30), now);
+    node.record_start(&request(&[DEADLY], 30), now);
+    // A peer that missed the first reports tells that it still holds the part.
+    let later = now + Duration::from_secs(30);
+    node.report(later);
+    node.merge(&peer.report(later), later);
+    peer.merge(&node.report(later), later);
+    assert!(peer.refusal(&request(&[DEADLY], 31), false, later).is_none());
+}
+
 /// Guards against a part that crashes endpoints again after the loss of all nodes.
 #[test]
 fn restart_keeps_quarantine() {
