Count one sample of a version for each request

Cause: some requests fail wherever they run, and the node tries these twice, on the same version. Each attempt counted as an independent sample.

Change: only the first attempt at a request is a sample.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -44,6 +44,9 @@
     shows_prefill_rate: bool,
     /// Conditions of the samples for a roll-out of the service.
     conditions: Conditions,
+    /// Whether this is the first attempt at the request. Some requests fail wherever they run, so that
+    /// further attempts tell no more about a version.
+    is_first: bool,
     has_started: Cell<bool>,
     /// Whether the endpoint has the request and neither a response nor a failure has been recorded.
     is_awaited: Cell<bool>,
@@ -89,6 +92,9 @@
     /// Counts a sample for the endpoint's version, as evidence for a roll-out.
     fn record_sample(&self, sample: Sample) {
         self.is_awaited.set(false);
+        if !self.is_first {
+            return;
+        }
         let Endpoint { service, version, .. } = &self.endpoint;
         self.node.shifts.borrow_mut().record(service, version, self.conditions, sample);
     }
@@ -374,6 +380,7 @@
             version_selection.map(|selection| selection.stage).unwrap_or_default(),
             &context.route.name,
         ),
+        is_first: tried.is_empty(),
         has_started: Cell::new(false),
         is_awaited: Cell::new(false),
     })
