Decide on weak evidence before a version gets all requests

What callers saw: a half slow version of a service with ten requests a second or fewer was completed in some roll-outs.

Cause: thresholds made for a test after every response were also applied to the last one before the step that hardly anything can undo, and little evidence was there: the canary's size was fixed on the first second's requests, reserved more requests for late failures than were left to come, and was divided over two stages.

Change: a final analysis before the version gets all requests requires less. The request rate is read after 15% of the time; the reserve is at most the requests of the last stage; a large canary has no ramp.

--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -13,12 +13,12 @@
 
 use crate::gateway::platform::Phase;
 use crate::gateway::usage::DOMAIN_START;
-use crate::gateway::verdict::{Conditions, Evidence, Excess, Sample, Stage};
+use crate::gateway::verdict::{Analysis, Conditions, Evidence, Excess, Sample, Stage};
 
 /// Least traffic share of the canary; a service with many requests shows enough at it.
 const MIN_CANARY_SHARE: f64 = 0.04;
 /// Traffic share in the final test under load relative to the canary's, its upper bound, and its start as a
-/// fraction of the time limit.
+/// fraction of the time limit. The rest is needed for comparison.
 const RAMP_FACTOR: f64 = 3.0;
 const MAX_RAMP_SHARE: f64 = 0.6;
 const RAMP_START: f64 = 0.62;
@@ -32,9 +32,10 @@
 /// know.
 const DETECTION_RESPONSES: f64 = 30.0;
 const DETECTION_DELAY: Duration = Duration::from_millis(400);
-/// Time after which a node that has read a declaration knows the request rate of the service and the
-/// evidence of its peers.
+/// Time after which a node that has read a declaration knows the evidence of its peers.
 const EVIDENCE_TIME: Duration = Duration::from_secs(1);
+/// Fraction of the time limit after which the request rate of the service is known well enough.
+const RATE_TIME: f64 = 0.15;
 /// Fractions of the time limit after which a good version gets all requests, and after which the
 /// roll-out completes. Requests running on the old version end in between, since completion stops
 /// its endpoints.
@@ -66,13 +67,24 @@
     fn canary_share(&self, requests_per_s: f64, time_limit: Duration) -> f64 {
         let requests = requests_per_s * time_limit.as_secs_f64();
         let detection = DETECTION_RESPONSES + requests_per_s * DETECTION_DELAY.as_secs_f64();
-        let allowed = self.fraction * requests + self.tolerance - detection;
+        // A version that turns bad when it gets all requests gets no more than those that are left.
+        let late = detection.min((1.0 - FULL_START) * requests);
+        let allowed = self.fraction * requests + self.tolerance - late;
         let mean = (EXPOSURE_USED * allowed / requests.max(1e-9)).min(MAX_MEAN_SHARE);
-        let weight = RAMP_START + RAMP_FACTOR * (FULL_START - RAMP_START);
-        (mean / weight).max(MIN_CANARY_SHARE)
+        let share = mean / (RAMP_START + RAMP_FACTOR * (FULL_START - RAMP_START));
+        match has_ramp(share) {
+            true => share.max(MIN_CANARY_SHARE),
+            false => mean / FULL_START,
+        }
     }
 }
 
+/// Returns whether the share of a canary grows before it gets all requests. A large share is a test under load
+/// already, and evidence from one stage is stronger than from two.
+fn has_ramp(canary_share: f64) -> bool {
+    canary_share * RAMP_FACTOR <= MAX_RAMP_SHARE
+}
+
 /// State of one roll-out, as a node reports it to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -166,12 +178,12 @@
     }
 
     /// Reverts the roll-out if the new version is significantly worse than tolerated.
-    fn revert_if_bad(&mut self, now: Duration) -> Option<Judgment> {
+    fn revert_if_bad(&mut self, analysis: Analysis, now: Duration) -> Option<Judgment> {
         if self.phase != Phase::InProgress {
             return None;
         }
-        let excess = self.total_evidence().worst_excess().filter(Excess::is_significant)?;
-        Some(self.revert(&excess, now))
+        let excess = self.total_evidence().worst_excess(analysis)?;
+        excess.is_significant(analysis).then(|| self.revert(&excess, now))
     }
 
     fn revert(&mut self, excess: &Excess, now: Duration) -> Judgment {
@@ -196,40 +208,53 @@
     fn share(&self) -> f64 {
         match self.stage {
             Stage::Canary => self.canary_share,
-            Stage::Ramp => (self.canary_share * RAMP_FACTOR).min(MAX_RAMP_SHARE),
+            Stage::Ramp => self.canary_share * RAMP_FACTOR,
             Stage::Full => 1.0,
         }
     }
 
-    fn update_stage(&mut self, exposure: &Exposure, now: Duration) {
+    /// Updates the stage, or reverts the roll-out if the new version must not get all requests.
+    fn update_stage(&mut self, exposure: &Exposure, now: Duration) -> Option<Judgment> {
         if self.phase != Phase::InProgress {
-            return;
+            return None;
         }
         let evidence = self.total_evidence();
         let elapsed = self.elapsed(now);
-        if !self.is_share_set && now.saturating_sub(self.read_at) >= EVIDENCE_TIME {
+        let fraction = self.elapsed_fraction(now);
+        let is_rate_known =
+            fraction >= RATE_TIME && now.saturating_sub(self.read_at) >= EVIDENCE_TIME;
+        if !self.is_share_set && is_rate_known {
             let (new, old) = evidence.responses();
             let requests_per_s = f64::from(new + old) / elapsed.as_secs_f64();
             self.canary_share = exposure.canary_share(requests_per_s, self.time_limit);
             self.is_share_set = true;
         }
-        let fraction = self.elapsed_fraction(now);
         let has_enough_responses = evidence.good_responses() >= MIN_GOOD_RESPONSES;
-        let stage = match fraction {
-            fraction if fraction < RAMP_START => Stage::Canary,
-            fraction if fraction < FULL_START || !has_enough_responses => Stage::Ramp,
-            _ => Stage::Full,
+        let stage = if fraction >= FULL_START && has_enough_responses {
+            Stage::Full
+        } else if fraction >= RAMP_START && has_ramp(self.canary_share) {
+            Stage::Ramp
+        } else {
+            Stage::Canary
         };
-        if stage != std::mem::replace(&mut self.stage, stage) {
-            self.log_evidence(now);
+        if stage == self.stage {
+            return None;
+        }
+        if stage == Stage::Full
+            && let Some(judgment) = self.revert_if_bad(Analysis::Final, now)
+        {
+            return Some(judgment);
         }
+        self.stage = stage;
+        self.log_evidence(now);
+        None
     }
 
     /// Logs what the next stage of the roll-out is based on.
     fn log_evidence(&self, now: Duration) {
         let evidence = self.total_evidence();
         let (new, old) = evidence.responses();
-        let excess = evidence.worst_excess();
+        let excess = evidence.worst_excess(Analysis::Interim);
         let excess = excess.map_or_else(|| "reason=none".to_owned(), |excess| excess.to_string());
         log::info!(
             "shift: event=evidence version={} stage={:?} share={:.2} elapsed_ms={} new={new} old={old} worst=\"{excess}\" {}",
@@ -396,7 +421,7 @@
     /// Reverts the roll-outs whose new version is bad by the evidence of all nodes.
     pub fn judge(&mut self, now: Duration) {
         for shift in self.shifts.values_mut() {
-            self.judgments.extend(shift.revert_if_bad(now));
+            self.judgments.extend(shift.revert_if_bad(Analysis::Interim, now));
         }
     }
 
@@ -408,7 +433,7 @@
     /// Updates the stages; `now` is on the clock passed to `start`.
     pub fn update_stages(&mut self, now: Duration) {
         for shift in self.shifts.values_mut() {
-            shift.update_stage(&self.exposure, now);
+            self.judgments.extend(shift.update_stage(&self.exposure, now));
         }
     }
 
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -30,9 +30,11 @@
 /// after every response. If one request in seven fails on the old version and three in ten on the new one,
 /// that is detected after about a hundred responses.
 const MIN_DEVIATIONS: f64 = 3.3;
+/// Standard deviations required by the final analysis, which tests once.
+const MIN_DEVIATIONS_FINAL: f64 = 2.0;
 /// Log-likelihood ratio, against the number of bad responses expected, above which a difference counts as
 /// significant. Where few are expected, standard deviations understate what chance can do. More is required
-/// in a small sample, whose share of bad responses changes in coarse steps.
+/// of interim analyses of a small sample, whose share of bad responses changes in coarse steps.
 const MIN_STRENGTH: f64 = 5.5;
 const MIN_STRENGTH_SMALL_SAMPLE: f64 = 9.0;
 const SMALL_SAMPLE_RESPONSES: f64 = 60.0;
@@ -73,6 +75,15 @@
     Broken,
 }
 
+/// Kind of analysis of the evidence. Each one can be wrong by chance, so one of many requires more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Analysis {
+    /// One of many while responses arrive.
+    Interim,
+    /// The one before the new version gets all requests.
+    Final,
+}
+
 /// Way in which the new version is worse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Symptom {
@@ -220,11 +231,15 @@
 
 impl Excess {
     /// Returns whether the difference proves the new version bad.
-    pub fn is_significant(&self) -> bool {
+    pub fn is_significant(&self, analysis: Analysis) -> bool {
         let is_small_sample = f64::from(self.new.1) < SMALL_SAMPLE_RESPONSES;
-        let min_strength = if is_small_sample { MIN_STRENGTH_SMALL_SAMPLE } else { MIN_STRENGTH };
+        let (min_deviations, min_strength) = match analysis {
+            Analysis::Interim if is_small_sample => (MIN_DEVIATIONS, MIN_STRENGTH_SMALL_SAMPLE),
+            Analysis::Interim => (MIN_DEVIATIONS, MIN_STRENGTH),
+            Analysis::Final => (MIN_DEVIATIONS_FINAL, MIN_STRENGTH),
+        };
         self.new.0 >= MIN_BAD_RESPONSES
-            && self.deviations > MIN_DEVIATIONS
+            && self.deviations > min_deviations
             && self.strength() > min_strength
     }
 
@@ -302,7 +317,7 @@
     }
 
     /// Returns the most significant difference beyond what is tolerated.
-    pub fn worst_excess(&self) -> Option<Excess> {
+    pub fn worst_excess(&self, analysis: Analysis) -> Option<Excess> {
         let is_shared = |stratum: &&Stratum| stratum.key.0 < Stage::Full as u8;
         let (shared, full): (Vec<&Stratum>, Vec<&Stratum>) =
             self.strata.iter().partition(is_shared);
@@ -317,7 +332,8 @@
         let full: Vec<Stratum> = full.collect();
         let full = excesses(&full, FULL_EXCESS_TOLERANCE);
         excesses(&shared, EXCESS_TOLERANCE).chain(full).max_by(|a, b| {
-            let by_significance = a.is_significant().cmp(&b.is_significant());
+            let is_significant = |excess: &Excess| excess.is_significant(analysis);
+            let by_significance = is_significant(a).cmp(&is_significant(b));
             by_significance.then(a.deviations.total_cmp(&b.deviations))
         })
     }
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -188,6 +188,12 @@
     assert_reverted(Play { requests_per_s: 110.0, slow_share: 0.5, ..SOUND });
 }
 
+/// Guards against a slow version that gets all requests because too little evidence speaks against it.
+#[test]
+fn weak_evidence_reverts_before_full_traffic() {
+    assert_reverted(Play { requests_per_s: 10.0, slow_share: 0.5, ..SOUND });
+}
+
 /// Guards against a slow version that few requests don't show.
 #[test]
 fn rare_requests_show_slow_version() {
