Keep the least proven parts as evidence of a crash

What callers saw: nothing yet; under load requests with a deadly part could go on crashing endpoints.

Cause: a crash names at most 32 parts, the first ones. On an endpoint on which more requests wait with parts of their own, the deadly part may not be among them, in each crash anew.

Change: if there are too many, those with which answers began last are left out.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -89,9 +89,19 @@
     shared.iter().map(|part| part.hash)
 }
 
-fn add_part(parts: &mut Parts, part: u64) {
-    if parts.len() < MAX_PARTS_PER_CRASH && !parts.contains(&part) {
+/// Adds a part to those of a crash. If there are too many, the parts with which answers began last are left out,
+/// as they are the least likely to crash endpoints.
+fn add_part(parts: &mut Parts, part: u64, starts: &HashMap<u64, Duration>) {
+    if parts.contains(&part) {
+        return;
+    }
+    if parts.len() < MAX_PARTS_PER_CRASH {
         parts.push(part);
+        return;
+    }
+    let latest = parts.iter_mut().max_by_key(|known| starts.get(known));
+    if let Some(latest) = latest.filter(|latest| starts.get(&part) < starts.get(latest)) {
+        *latest = part;
     }
 }
 
@@ -101,12 +111,12 @@
     pub fn suspect(&mut self, endpoint: &Endpoint, prompt: &Prompt) -> bool {
         let run = (endpoint.id.clone(), endpoint.started_ms);
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.run == run) {
-            shared_parts(prompt).for_each(|part| add_part(&mut crash.parts, part));
+            shared_parts(prompt).for_each(|part| add_part(&mut crash.parts, part, &self.starts));
             return false;
         }
         let is_new = !self.suspected.contains_key(&run);
         let parts = self.suspected.entry(run).or_default();
-        shared_parts(prompt).for_each(|part| add_part(parts, part));
+        shared_parts(prompt).for_each(|part| add_part(parts, part, &self.starts));
         is_new
     }
 
@@ -229,7 +239,8 @@
             }
         }
         if let Some(known) = self.crashes.iter_mut().find(|known| known.run == crash.run) {
-            crash.parts.into_iter().for_each(|part| add_part(&mut known.parts, part));
+            let parts = crash.parts.into_iter();
+            parts.for_each(|part| add_part(&mut known.parts, part, &self.starts));
             return;
         }
         if self.crashes.len() == MAX_CRASHES {
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -79,6 +79,21 @@
     assert!(node.refusal(&prompt(&[SYSTEM, DEADLY]), false, at(3.0)).is_none());
 }
 
+/// Guards against a deadly part that is overlooked among those of many sound requests on busy endpoints.
+#[test]
+fn busy_endpoints_show_deadly_part() {
+    let mut node = Quarantine::default();
+    let sound: Vec<Prompt> = (0..60).map(|part| request(&[SYSTEM, 100 + part], part)).collect();
+    for number in 1..=3 {
+        sound.iter().for_each(|prompt| drop(node.record_start(prompt, at(number as f64 - 0.5))));
+        let deadly = request(&[SYSTEM, DEADLY], number);
+        let prompts = [sound.as_slice(), &[deadly]].concat();
+        crash(&mut node, number, &prompts, at(number as f64));
+    }
+    assert!(refuses(&node, &[SYSTEM, DEADLY], at(3.0)));
+    assert!((0..60).all(|part| !refuses(&node, &[SYSTEM, 100 + part], at(3.0))));
+}
+
 /// Guards against a part that each node has seen too rarely.
 #[test]
 fn nodes_sum_crashes() {
