--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -42,8 +42,24 @@
     /// Share of the new version's responses that are slower, and by which factor.
     slow_share: f64,
     slow_factor: f64,
-    /// Factor by which all responses are slower in the middle third.
-    burst_factor: f64,
+    /// What happens in the middle third.
+    trouble: Trouble,
+}
+
+/// Trouble that says nothing about the new version.
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    /// All responses are slower by a factor.
+    Burst(f64),
+    /// Half of the old version's endpoints are several times slower.
+    SlowOldEndpoints,
+    /// The nodes are cut into two parts.
+    Cut,
+    /// Two nodes are killed and start again without what they knew.
+    Kill,
+    /// The store is down, so that no phase is recorded until shortly before the deadline.
+    StoreDown,
 }
 
 const SOUND: Play = Play {
@@ -53,7 +69,7 @@
     is_stream: false,
     slow_share: 0.0,
     slow_factor: 8.0,
-    burst_factor: 1.0,
+    trouble: Trouble::None,
 };
 
 /// What a bad version got until its roll-out ended, and how it ended.
@@ -83,22 +99,34 @@
     let ticks = (play.time_limit.as_millis() / 100) as usize;
     for tick in 0..ticks {
         let now = start + Duration::from_millis(100) * tick as u32;
+        let trouble = if tick * 3 / ticks == 1 { play.trouble } else { Trouble::None };
+        if trouble == Trouble::Kill && tick == ticks / 2 {
+            for node in &mut nodes[..2] {
+                *node = Shifts::new(EXPOSURE);
+                node.start("s".into(), "v2".into(), play.time_limit, 7, now);
+            }
+        }
         let reports: Vec<_> = nodes.iter().map(|node| node.reports(now)).collect();
         for (index, node) in nodes.iter_mut().enumerate() {
-            for (peer, reports) in reports.iter().enumerate().filter(|(peer, _)| *peer != index) {
-                node.merge_peer(&names[peer], 1, reports.clone(), now);
+            let is_connected = |peer: &usize| trouble != Trouble::Cut || peer % 2 == index % 2;
+            let others = (0..reports.len()).filter(|peer| *peer != index).filter(is_connected);
+            for peer in others {
+                let run = u64::from(play.trouble == Trouble::Kill && tick >= ticks / 2 && peer < 2);
+                node.merge_peer(&names[peer], 1 + run, reports[peer].clone(), now);
             }
             node.update_stages(now);
             node.judge(now);
         }
+        let is_store_down = play.trouble == Trouble::StoreDown && tick < ticks - 2;
         let (service, _, revision, phase) = nodes[0].phases(now).remove(0);
-        nodes[0].apply_phase(&service, revision, phase);
+        if !is_store_down {
+            nodes[0].apply_phase(&service, revision, phase);
+        }
         let mut budget = play.requests_per_s / 10.0;
         while budget > 0.0 && (budget >= 1.0 || random.random_bool(budget)) {
             budget -= 1.0;
             let node = random.random_range(0..play.nodes);
-            let is_burst = tick * 3 / ticks == 1;
-            request(&mut nodes[node], play, is_burst, &mut random, &mut outcome);
+            request(&mut nodes[node], play, trouble, &mut random, &mut outcome);
         }
     }
     outcome.phase = nodes[0].phases(start + play.time_limit)[0].3;
@@ -109,7 +137,7 @@
 fn request(
     node: &mut Shifts,
     play: Play,
-    is_burst: bool,
+    trouble: Trouble,
     random: &mut SmallRng,
     outcome: &mut Outcome,
 ) {
@@ -125,7 +153,11 @@
     let has_failed = random.random_bool(kind.failures);
     outcome.all += 1.0;
     outcome.new += f64::from(is_new);
-    let load = if is_burst { play.burst_factor } else { 1.0 };
+    let load = match trouble {
+        Trouble::Burst(factor) => factor,
+        Trouble::SlowOldEndpoints if !is_new && random.random_bool(0.5) => play.slow_factor,
+        _ => 1.0,
+    };
     let slowdown = if is_slow { play.slow_factor } else { 1.0 };
     let time = draw_time(random, kind.median) * load;
     let conditions = Conditions::new(selection.stage, kind.route);
@@ -228,7 +260,45 @@
 /// Guards against good versions that are reverted because a burst slows both versions down.
 #[test]
 fn burst_keeps_good_version() {
-    assert_completed(Play { burst_factor: 6.0, ..SOUND });
+    assert_completed(Play { trouble: Trouble::Burst(6.0), ..SOUND });
+}
+
+/// Guards against good versions that are reverted because endpoints of the old version turn slow and recover.
+#[test]
+fn slow_old_endpoints_keep_good_version() {
+    assert_completed(Play { trouble: Trouble::SlowOldEndpoints, ..SOUND });
+}
+
+/// Guards against good versions that are reverted or late because some nodes don't hear of the others.
+#[test]
+fn cut_keeps_good_version() {
+    assert_completed(Play { trouble: Trouble::Cut, ..SOUND });
+}
+
+/// Guards against good versions that are reverted or late because nodes start again in the middle.
+#[test]
+fn killed_nodes_keep_good_version() {
+    assert_completed(Play { trouble: Trouble::Kill, ..SOUND });
+}
+
+/// Guards against good versions that are reverted or late because the store recovers shortly before the deadline.
+#[test]
+fn recovering_store_keeps_good_version() {
+    assert_completed(Play { trouble: Trouble::StoreDown, ..SOUND });
+}
+
+/// Guards against a slow version that gets away because some nodes don't hear of the others, or start again.
+#[test]
+fn trouble_hides_no_slow_version() {
+    for trouble in [Trouble::Cut, Trouble::Kill, Trouble::StoreDown] {
+        assert_reverted(Play { trouble, slow_share: 0.5, ..SOUND });
+    }
+}
+
+/// Guards against a slow version that gets away because a burst slows the old one down for a time.
+#[test]
+fn burst_hides_no_slow_version() {
+    assert_reverted(Play { trouble: Trouble::Burst(3.0), slow_share: 0.5, ..SOUND });
 }
 
 /// Guards against a slow version that stays in force because the node that saw its answers is lost.
