Compare full traffic with the stage before it

What callers saw: nothing yet; a slow version could be completed because the old one had been slow early in the roll-out.

Cause: answers of the last stage, in which the new version gets all requests, were compared with those of the old version in all stages before.

Change: they are compared with the stage just before, if that has 30 answers on the route.

Test: past_trouble_hides_no_slow_version failed (no difference found).

--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -50,6 +50,9 @@
 /// and there are no concurrent responses of the old version for comparison.
 const FULL_EXCESS_TOLERANCE: f64 = 0.15;
 
+/// Responses of the old version in one stage that are enough for comparison.
+const MIN_REFERENCE_RESPONSES: u32 = 30;
+
 /// Stage of a roll-out. Within one, the shares of the versions are constant, so both serve under the same
 /// conditions.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -323,12 +326,9 @@
             self.strata.iter().partition(is_shared);
         let shared: Vec<Stratum> = shared.into_iter().copied().collect();
         // All requests of the last stage go to the new version.
-        let full = full.into_iter().map(|stratum| {
-            let mut old = Tally::default();
-            let same_route = shared.iter().filter(|it| it.key.1 == stratum.key.1);
-            same_route.for_each(|it| old.add(&it.old));
-            Stratum { old, ..*stratum }
-        });
+        let full = full
+            .into_iter()
+            .map(|stratum| Stratum { old: reference(&shared, stratum.key.1), ..*stratum });
         let full: Vec<Stratum> = full.collect();
         let full = excesses(&full, FULL_EXCESS_TOLERANCE);
         excesses(&shared, EXCESS_TOLERANCE).chain(full).max_by(|a, b| {
@@ -339,6 +339,19 @@
     }
 }
 
+/// Returns the samples of the old version on a route with which those of the last stage are compared: of the
+/// stage before, as the conditions have changed least since then, or of all stages if it has few.
+fn reference(shared: &[Stratum], route_group: u8) -> Tally {
+    let same_route = || shared.iter().filter(|stratum| stratum.key.1 == route_group);
+    let last = same_route().last().map(|stratum| stratum.old);
+    if let Some(last) = last.filter(|last| last.starts.total() >= MIN_REFERENCE_RESPONSES) {
+        return last;
+    }
+    let mut all = Tally::default();
+    same_route().for_each(|stratum| all.add(&stratum.old));
+    all
+}
+
 type Metric = fn(&Tally) -> &Histogram;
 /// Number of samples from each interval on.
 type Suffixes = [u32; INTERVALS + 1];
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -5,7 +5,7 @@
 
 use pomelolink::gateway::platform::Phase;
 use pomelolink::gateway::shift::{Exposure, Shifts};
-use pomelolink::gateway::verdict::{Conditions, Sample, Stage};
+use pomelolink::gateway::verdict::{Analysis, Conditions, Evidence, Sample, Stage};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -301,6 +301,23 @@
     assert_reverted(Play { trouble: Trouble::Burst(3.0), slow_share: 0.5, ..SOUND });
 }
 
+/// Guards against a slow version that keeps all requests because the old one was slow long before.
+#[test]
+fn past_trouble_hides_no_slow_version() {
+    let mut evidence = Evidence::default();
+    let mut record = |stage, is_new, ratio, count| {
+        for _ in 0..count {
+            evidence.record(Conditions::new(stage, "book"), is_new, Sample::Start(ratio));
+        }
+    };
+    record(Stage::Canary, false, 20.0, 100);
+    record(Stage::Ramp, false, 2.0, 60);
+    record(Stage::Full, true, 2.0, 15);
+    record(Stage::Full, true, 20.0, 15);
+    let excess = evidence.worst_excess(Analysis::Interim);
+    assert!(excess.is_some_and(|excess| excess.is_significant(Analysis::Interim)), "{excess:?}");
+}
+
 /// Guards against a slow version that stays in force because the node that saw its answers is lost.
 #[test]
 fn lost_node_leaves_evidence() {
