Ignore answers across a cut as evidence about a version

Cause: requests across the cut fail or wait, and few endpoints of the new version are in each domain.

Change: a node notes when it hears nobody of a failure domain, and samples from endpoints there since then don't count, good or bad.

Test: cut_off_domain_is_unheard, in whole and in split fleets.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -138,6 +138,8 @@
     interval: Duration,
     /// Whether this node's last call to the store succeeded.
     reaches_store: bool,
+    /// Last time at which no node of another failure domain had been heard for some time.
+    unheard: HashMap<Arc<str>, Duration>,
 }
 
 impl Peers {
@@ -153,6 +155,7 @@
             is_split: false,
             interval: HEARTBEAT_INTERVAL,
             reaches_store: true,
+            unheard: HashMap::new(),
         }
     }
 
@@ -323,7 +326,8 @@
         true
     }
 
-    /// Updates whether the fleet is split and the interval between heartbeats, and drops relays that have not been heard for long.
+    /// Updates whether the fleet is split, the interval between heartbeats and the failure domains that are
+    /// not heard, and drops relays that have not been heard for long.
     pub fn refresh(&mut self, now: Duration) {
         self.relays.retain(|_, relay| now.saturating_sub(relay.seen) < PEER_TTL);
         let is_split = self.fleet_size(now) > MAX_DIRECT_NODES;
@@ -334,6 +338,33 @@
         let direct = self.peers.values().filter(|peer| self.is_direct(peer)).count() as u32;
         self.interval = (HEARTBEAT_INTERVAL * direct / FULL_RATE_PEERS)
             .clamp(HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL);
+        self.update_unheard(now);
+    }
+
+    fn update_unheard(&mut self, now: Duration) {
+        let mut heard: SmallVec<[(&Arc<str>, Duration); 8]> = SmallVec::new();
+        let peers =
+            self.direct(now).filter_map(|(_, peer)| Some((peer.domain.as_ref()?, peer.seen?)));
+        let relays = self.relays.values().map(|relay| (&relay.domain, relay.seen));
+        for (domain, seen) in peers.chain(relays).filter(|(domain, _)| **domain != self.domain) {
+            match heard.iter_mut().find(|(known, _)| *known == domain) {
+                Some((_, last)) => *last = (*last).max(seen),
+                None => heard.push((domain, seen)),
+            }
+        }
+        let max_age = match self.is_split {
+            true => DIGEST_INTERVAL.mul_f64(SILENT_INTERVALS),
+            false => self.silent_time(),
+        };
+        let is_silent = |(_, seen): &(&Arc<str>, Duration)| now.saturating_sub(*seen) >= max_age;
+        let silent: SmallVec<[Arc<str>; 8]> =
+            heard.into_iter().filter(is_silent).map(|(domain, _)| domain.clone()).collect();
+        self.unheard.extend(silent.into_iter().map(|domain| (domain, now)));
+    }
+
+    /// Returns whether another failure domain may have been cut off at some time since `since`.
+    pub fn was_unheard(&self, domain: &str, since: Duration) -> bool {
+        self.unheard.get(domain).is_some_and(|at| *at >= since)
     }
 
     pub fn is_split(&self) -> bool {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -92,10 +92,12 @@
     /// Counts a sample for the endpoint's version, as evidence for a roll-out.
     fn record_sample(&self, sample: Sample) {
         self.is_awaited.set(false);
-        if !self.is_first {
+        let Endpoint { service, version, domain, .. } = &self.endpoint;
+        // What a cut does to a version depends on where its endpoints are.
+        let was_cut_off = self.node.peers.borrow().was_unheard(domain, self.began);
+        if !self.is_first || was_cut_off {
             return;
         }
-        let Endpoint { service, version, .. } = &self.endpoint;
         self.node.shifts.borrow_mut().record(service, version, self.conditions, sample);
     }
 
--- a/tests/peer_roles.rs
+++ b/tests/peer_roles.rs
@@ -253,6 +253,32 @@
     }
 }
 
+/// Guards against answers that a cut delays and that are taken for the fault of a version.
+#[test]
+fn cut_off_domain_is_unheard() {
+    for size in [30, 117] {
+        let mut fleet = Fleet::new(size, 6);
+        fleet.run(Duration::from_secs(4));
+        let before = fleet.now;
+        fleet.cut_off = Some("domain-2".into());
+        fleet.run(Duration::from_secs(1));
+        let recent = fleet.now - Duration::from_millis(100);
+        let was_unheard = |fleet: &Fleet, own: &str, other: &str, since: Duration| {
+            let member = fleet.members.iter().find(|member| &*member.domain == own);
+            member.expect("a node of the domain").peers.was_unheard(other, since)
+        };
+        assert!(was_unheard(&fleet, "domain-0", "domain-2", recent), "{size} nodes");
+        assert!(was_unheard(&fleet, "domain-2", "domain-0", recent), "{size} nodes");
+        assert!(!was_unheard(&fleet, "domain-0", "domain-1", Duration::ZERO), "{size} nodes");
+        assert!(!was_unheard(&fleet, "domain-2", "domain-2", Duration::ZERO), "{size} nodes");
+        fleet.cut_off = None;
+        fleet.run(Duration::from_secs(3));
+        let recent = fleet.now - Duration::from_secs(1);
+        assert!(!was_unheard(&fleet, "domain-0", "domain-2", recent), "{size} nodes");
+        assert!(was_unheard(&fleet, "domain-0", "domain-2", before), "{size} nodes");
+    }
+}
+
 /// Guards against trusting a report that waited while the receiver was suspended: the delay of a datagram
 /// shows in the sender's clock.
 #[test]
