Compare only routes on which both versions answered

Cause: on a route without answers of the old version, all answers were expected to be slow. Two requests that only test the configuration raised the number expected from 0.3 to 2.0, and 6 slow ones of 27 no longer were significant.

Change: such routes don't count for slowness.

--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -30,7 +30,7 @@
 /// after every response. If one request in seven fails on the old version and three in ten on the new one,
 /// that is detected after about a hundred responses.
 const MIN_DEVIATIONS: f64 = 3.3;
-/// Standard deviations required by the final analysis, which tests once.
+/// Standard deviations required by a final analysis, as there are few.
 const MIN_DEVIATIONS_FINAL: f64 = 2.0;
 /// Log-likelihood ratio, against the number of bad responses expected, above which a difference counts as
 /// significant. Where few are expected, standard deviations understate what chance can do. More is required
@@ -83,7 +83,7 @@
 pub enum Analysis {
     /// One of many while responses arrive.
     Interim,
-    /// The one before the new version gets all requests.
+    /// One before the new version gets all requests, or before the old one is stopped.
     Final,
 }
 
@@ -383,6 +383,8 @@
                 let new = (new[new_start] - new[end], new[0] - new[end]);
                 (new, (old[start] - old[end], old[0] - old[end]))
             });
+            // Without responses of the old version, nothing tells how slow the route is.
+            let counts = counts.filter(|(_, (_, old_total))| !is_slow || *old_total > 0);
             compare(symptom, counts, prior, tolerance)
         })
     })
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -301,21 +301,46 @@
     assert_reverted(Play { trouble: Trouble::Burst(3.0), slow_share: 0.5, ..SOUND });
 }
 
+/// Records `count` starts of either version on a route.
+fn record_starts(
+    evidence: &mut Evidence,
+    (stage, route): (Stage, &str),
+    is_new: bool,
+    ratio: f64,
+    count: u32,
+) {
+    for _ in 0..count {
+        evidence.record(Conditions::new(stage, route), is_new, Sample::Start(ratio));
+    }
+}
+
+fn assert_significant(evidence: &Evidence) {
+    let excess = evidence.worst_excess(Analysis::Interim);
+    assert!(excess.is_some_and(|excess| excess.is_significant(Analysis::Interim)), "{excess:?}");
+}
+
 /// Guards against a slow version that keeps all requests because the old one was slow long before.
 #[test]
 fn past_trouble_hides_no_slow_version() {
     let mut evidence = Evidence::default();
-    let mut record = |stage, is_new, ratio, count| {
-        for _ in 0..count {
-            evidence.record(Conditions::new(stage, "book"), is_new, Sample::Start(ratio));
-        }
-    };
-    record(Stage::Canary, false, 20.0, 100);
-    record(Stage::Ramp, false, 2.0, 60);
-    record(Stage::Full, true, 2.0, 15);
-    record(Stage::Full, true, 20.0, 15);
-    let excess = evidence.worst_excess(Analysis::Interim);
-    assert!(excess.is_some_and(|excess| excess.is_significant(Analysis::Interim)), "{excess:?}");
+    record_starts(&mut evidence, (Stage::Canary, "book"), false, 20.0, 100);
+    record_starts(&mut evidence, (Stage::Ramp, "book"), false, 2.0, 60);
+    record_starts(&mut evidence, (Stage::Full, "book"), true, 2.0, 15);
+    record_starts(&mut evidence, (Stage::Full, "book"), true, 20.0, 15);
+    assert_significant(&evidence);
+}
+
+/// Guards against a slow version that gets away because the old one got no requests on some routes.
+#[test]
+fn route_without_comparison_hides_no_slow_version() {
+    let mut evidence = Evidence::default();
+    record_starts(&mut evidence, (Stage::Canary, "book"), false, 2.0, 240);
+    record_starts(&mut evidence, (Stage::Canary, "book"), true, 2.0, 16);
+    record_starts(&mut evidence, (Stage::Canary, "book"), true, 30.0, 8);
+    for route in ["look", "wait"] {
+        record_starts(&mut evidence, (Stage::Canary, route), true, 2.0, 2);
+    }
+    assert_significant(&evidence);
 }
 
 /// Guards against a slow version that stays in force because the node that saw its answers is lost.
