Decide once more before the old version is stopped

Cause: between the step to full traffic and completion only the thresholds for frequent tests applied, although completion stops the old endpoints.

Change: completion requires the final analysis as well.

--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -237,14 +237,18 @@
         } else {
             Stage::Canary
         };
-        if stage == self.stage {
-            return None;
-        }
+        let is_new_stage = stage != self.stage;
+        // The steps that can hardly be undone.
+        let is_step = is_new_stage || fraction >= COMPLETION_START;
         if stage == Stage::Full
+            && is_step
             && let Some(judgment) = self.revert_if_bad(Analysis::Final, now)
         {
             return Some(judgment);
         }
+        if !is_new_stage {
+            return None;
+        }
         self.stage = stage;
         self.log_evidence(now);
         None
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -343,6 +343,31 @@
     assert_significant(&evidence);
 }
 
+/// Guards against a version that is completed, so that the old one is stopped, on evidence that speaks against it.
+#[test]
+fn weak_evidence_reverts_before_completion() {
+    let start = Duration::from_secs(100);
+    let mut shifts = Shifts::new(EXPOSURE);
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    let at = |fraction: f64| start + TIME_LIMIT.mul_f64(fraction);
+    let record = |shifts: &mut Shifts, version, stage, ratio, count| {
+        for _ in 0..count {
+            shifts.record("s", version, Conditions::new(stage, "book"), Sample::Start(ratio));
+        }
+    };
+    record(&mut shifts, "v1", Stage::Ramp, 2.0, 180);
+    record(&mut shifts, "v1", Stage::Ramp, 8.0, 20);
+    record(&mut shifts, "v2", Stage::Ramp, 2.0, 20);
+    shifts.update_stages(at(0.87));
+    record(&mut shifts, "v2", Stage::Full, 2.0, 12);
+    record(&mut shifts, "v2", Stage::Full, 20.0, 8);
+    shifts.judge(at(0.9));
+    shifts.update_stages(at(0.9));
+    assert_eq!(shifts.phases(at(0.9))[0].3, Phase::InProgress);
+    shifts.update_stages(at(0.96));
+    assert_eq!(shifts.phases(at(0.96))[0].3, Phase::Reverted);
+}
+
 /// Guards against a slow version that stays in force because the node that saw its answers is lost.
 #[test]
 fn lost_node_leaves_evidence() {
