--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -343,7 +343,7 @@
 /// stage before, as the conditions have changed least since then, or of all stages if it has few.
 fn reference(shared: &[Stratum], route_group: u8) -> Tally {
     let same_route = || shared.iter().filter(|stratum| stratum.key.1 == route_group);
-    let last = same_route().last().map(|stratum| stratum.old);
+    let last = same_route().next_back().map(|stratum| stratum.old);
     if let Some(last) = last.filter(|last| last.starts.total() >= MIN_REFERENCE_RESPONSES) {
         return last;
     }
