Tell peers of the removal of an endpoint that the reader had dropped

Cause: the endpoint's entry lapsed during the cut, came back at 13.2 s and was removed at 13.4 s. The reader of the failure domain had dropped it, read both changes at once and told its peers of the last one only if it knew the endpoint, so nodes that had heard of its return kept it.

Change: a removal is always told.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
-use crate::gateway::notice::Notice;
+use crate::gateway::notice::{self, Notice};
 use crate::gateway::peers::Receipt;
 use crate::gateway::platform::{Change, Declaration, LongPoll};
 use crate::platform::Failure;
@@ -302,14 +302,7 @@
 /// Queues changes for the peers, except the regular reports of endpoints that change nothing.
 fn publish_changes(node: &Node, changes: &[Change]) {
     let roster = node.roster.borrow();
-    let is_relevant = |change: &Change| match (change, roster.get(change.id())) {
-        // Peers drop an entry that is missing, unless they are told that it is back.
-        (Change::Updated(endpoint), Some(known)) => {
-            known.endpoint != *endpoint || known.is_missing()
-        }
-        (Change::Updated(_), None) => true,
-        (Change::Removed(_), known) => known.is_some(),
-    };
+    let is_relevant = |change: &Change| notice::is_relevant(change, roster.get(change.id()));
     node.notices.borrow_mut().publish(changes, is_relevant, clock::now());
 }
 
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::platform::{Batch, Change, Endpoint};
+use crate::gateway::roster;
 
 /// Time for which a change is sent repeatedly, in several datagrams in case some are lost. It is longer
 /// than the gap between two heartbeats after which a node no longer relies on the notices of a peer.
@@ -26,6 +27,18 @@
     pub change: Change,
 }
 
+/// Returns whether the peers of a node have to be told of a change that it has read, given its own entry for the
+/// endpoint. Peers may know an endpoint that this node has dropped already, so each removal is relevant.
+pub fn is_relevant(change: &Change, known: Option<&roster::Entry>) -> bool {
+    match (change, known) {
+        // Peers drop an entry that is missing, unless they are told that it is back.
+        (Change::Updated(endpoint), Some(known)) => {
+            known.endpoint != *endpoint || known.is_missing()
+        }
+        (Change::Updated(_), None) | (Change::Removed(_), _) => true,
+    }
+}
+
 /// Merges the changes that this node has read with those received from its peers.
 #[derive(Debug, Default)]
 pub struct Notices {
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelolink::gateway::notice::{Notice, Notices};
+use pomelolink::gateway::notice::{self, Notice, Notices};
 use pomelolink::gateway::platform::{Batch, Change, Endpoint};
+use pomelolink::gateway::roster::Roster;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -97,6 +98,19 @@
     assert_eq!(applied, vec![endpoint(true)]);
 }
 
+/// Guards against peers that keep an endpoint which registered again and left between two reads of a node that
+/// didn't know it any more (seen with DRAIN after a cut of a failure domain).
+#[test]
+fn removal_of_unknown_endpoint_is_published() {
+    let (mut reader, roster) = (Notices::default(), Roster::default());
+    let removed = Change::Removed("e".into());
+    let changes = reader.apply_batch(batch(10, vec![endpoint(false), removed.clone()]));
+    let is_relevant = |change: &Change| notice::is_relevant(change, roster.get(change.id()));
+    reader.publish(&changes, is_relevant, NOW);
+    let published: Vec<_> = reader.outgoing(NOW).into_iter().map(|notice| notice.change).collect();
+    assert_eq!(published, vec![removed]);
+}
+
 /// Guards against a change that some nodes never hear of: the node that read it dies, and the node that
 /// reads the store from then on knows it from a peer.
 #[test]
