Reset the daemon's connections that are given up

Seen: in a test only. A request that the daemon gave up, at its deadline or because its caller left, is still delivered when its bytes were held back. Change: all pools reset. Result: abandoned_request_resets_connection failed before (Ok(23), the request was read to its end) and passes.

--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -160,16 +160,16 @@
         let connect = async {
             let stream = TcpStream::connect(self.address).await?;
             stream.set_nodelay(true)?;
+            let socket = SockRef::from(&stream);
+            // Closing resets the connection. Otherwise bytes held back by a network partition could
+            // arrive once it heals, when the request was given up or another node has acted.
+            socket.set_linger(Some(Duration::ZERO))?;
             if matches!(self.liveness, Liveness::TcpKeepalive(_)) {
                 let keepalive = TcpKeepalive::new()
                     .with_time(KEEPALIVE_IDLE)
                     .with_interval(KEEPALIVE_INTERVAL)
                     .with_retries(KEEPALIVE_PROBES);
-                let socket = SockRef::from(&stream);
                 socket.set_tcp_keepalive(&keepalive)?;
-                // Closing resets the connection. Otherwise bytes held back by a network partition
-                // could arrive once it heals, when another holder of a duty may have acted.
-                socket.set_linger(Some(Duration::ZERO))?;
                 socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
             }
             http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
