Name the socket error of a failed request

Cause: the log of the open DRAIN finding said "connection error" only, which doesn't tell a reset by the peer from a limit of the kernel. Change: the reason holds the causes of the error.

--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -200,7 +200,7 @@
         self.sender.ready().await.map_err(|error| Failure::NotRun(error.to_string()))?;
         self.sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message().is_some();
-            let reason = error.error().to_string();
+            let reason = describe(error.error());
             if unsent { Failure::NotRun(reason) } else { Failure::Unknown(reason) }
         })
     }
@@ -221,6 +221,18 @@
     }
 }
 
+/// Returns an error with its causes, as the text of an HTTP error doesn't name that of the socket.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 /// Owns a connection while its response is read. It is closed on drop unless `release` was called.
 #[derive(Debug)]
 pub struct Guard {
