Reset connections on which nothing is acknowledged

Cause: the kernel ended the connection by TCP_USER_TIMEOUT, which sends no reset, and the bytes that the cut held back were delivered when it healed. A close afterwards resets nothing, as the socket is dead. Keep-alive counted towards the limit, so that it struck half a second after a request was sent on an idle connection. Excluded: a close in order (the pools reset; the same with all pools), the node's knowledge of the endpoint (the request was sent 3.3 s before the removal). Change: endpoint::socket looks at the send queue four times a second while bytes may be unacknowledged and fails after four looks without progress; closing resets. Keep-alive is off meanwhile. A closed receive window and a slow upload are progress or no silence; a process that was suspended counts one look. The limit stays one second, keep-alive ends a silent idle connection after two as before.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod pool;
+pub mod socket;
 pub mod sse;
 
 use std::collections::HashMap;
--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of HTTP/1.1 connections to one endpoint.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -11,9 +12,12 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::endpoint::socket::Socket;
+
 /// Idle time after which a connection is probed before it is used for a request that may be
 /// repeated.
 pub const PROBE_AFTER: Duration = Duration::from_millis(500);
@@ -39,10 +43,7 @@
 /// TCP keep-alive settings, with which the kernel closes a connection whose peer doesn't respond.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_PROBES: u32 = 2;
-
-/// `TCP_USER_TIMEOUT`: time after which the kernel closes a connection with unacknowledged data.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_PROBES: u32 = 1;
 
 /// How an idle connection is checked before it is used again.
 #[derive(Debug, Clone, Copy)]
@@ -164,29 +165,39 @@
             // Closing resets the connection. Otherwise bytes held back by a network partition could
             // arrive once it heals, when the request was given up or another node has acted.
             socket.set_linger(Some(Duration::ZERO))?;
-            if matches!(self.liveness, Liveness::TcpKeepalive(_)) {
-                let keepalive = TcpKeepalive::new()
-                    .with_time(KEEPALIVE_IDLE)
-                    .with_interval(KEEPALIVE_INTERVAL)
-                    .with_retries(KEEPALIVE_PROBES);
-                socket.set_tcp_keepalive(&keepalive)?;
-                socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+            if matches!(self.liveness, Liveness::Probe) {
+                return handshake(stream).await;
             }
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
+            let keepalive = TcpKeepalive::new()
+                .with_time(KEEPALIVE_IDLE)
+                .with_interval(KEEPALIVE_INTERVAL)
+                .with_retries(KEEPALIVE_PROBES);
+            socket.set_tcp_keepalive(&keepalive)?;
+            handshake(Socket::new(stream)).await
         };
-        let (sender, driver) = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        let (sender, task) = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(parts)) => parts,
             Ok(Err(error)) => return Err(Failure::NotRun(format!("cannot connect: {error}"))),
             Err(_) => return Err(Failure::NotRun("connecting timed out".to_owned())),
         };
-        // The driver ends with the connection; the request in flight also receives its error.
-        let task = tokio::spawn(async move {
-            let _ = driver.await;
-        });
-        Ok(Connection { sender, task: task.abort_handle(), last_alive: Instant::now() })
+        Ok(Connection { sender, task, last_alive: Instant::now() })
     }
 }
 
+/// Prepares a stream for requests and starts the task that drives it.
+async fn handshake<S>(stream: S) -> io::Result<(http1::SendRequest<Full<Bytes>>, AbortHandle)>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (sender, driver) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    // The driver ends with the connection; the request in flight also receives its error.
+    let task = tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    Ok((sender, task.abort_handle()))
+}
+
 impl Connection {
     /// Sends a request and waits for the response headers.
     ///
