Send no request on an idle connection across a cut

Cause: the connection had been idle since the cut began. Keep-alive got no answer and ended it 94 ms after the request was sent, before the socket's own check could reset it; keep-alive is switched off when a request is sent, which is too late for a probe that is under way. The log names the error: 110, timed out. Change: a connection that has been idle for 0.9 s, before keep-alive begins, is used again only if an endpoint of the same failure domain has responded in the last 0.9 s. Keep-alive waits 2 s instead of 1 s for an answer, longer than that and the check together; a silent stream is found after 3 s instead of 2.

--- a/src/endpoint/pool.rs
+++ b/src/endpoint/pool.rs
@@ -42,7 +42,9 @@
 
 /// TCP keep-alive settings, with which the kernel closes a connection whose peer doesn't respond.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longer than a response proves a path, together with the time in which a socket shows that nothing is
+/// acknowledged: a connection that was used again in that time is reset by the socket.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const KEEPALIVE_PROBES: u32 = 1;
 
 /// How an idle connection is checked before it is used again.
@@ -99,6 +101,18 @@
         self.checkout_probed(PROBE_AFTER).await
     }
 
+    /// Returns a connection like `checkout`, after closing those that have been idle for `max_idle`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `NotRun` when the endpoint can't be reached.
+    pub async fn checkout_within(&self, max_idle: Duration) -> Result<Connection, Failure> {
+        if let Some(limit) = Instant::now().checked_sub(max_idle) {
+            self.close_idle_before(limit);
+        }
+        self.checkout().await
+    }
+
     /// Returns an idle connection, which is probed if its last response is older than
     /// `probe_after`, or a new one. A pool created by `unprobed` sends no probe.
     ///
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -297,7 +297,9 @@
     resume: Resume,
 ) -> Attempt {
     let pool = node.pools.pool(&placement.endpoint.id, placement.endpoint.address);
-    let mut connection = match pool.checkout().await {
+    let domain = &placement.endpoint.domain;
+    let max_idle = node.pools.max_idle(domain, clock::now());
+    let mut connection = match pool.checkout_within(max_idle).await {
         Ok(connection) => connection,
         Err(Failure::NotRun(reason) | Failure::Unknown(reason)) => {
             placement.record_failure();
@@ -318,6 +320,7 @@
             return Attempt::Unknown(reason);
         }
     };
+    node.pools.record_response(domain, clock::now());
     let reply = (node.header_codec.parse_reply)(response.status(), response.headers());
     if reply.id.as_ref().is_some_and(|id| *id != context.metadata.id) {
         placement.ignore_response();
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -15,6 +15,11 @@
 /// Longest idle time of a connection that is used again. Endpoints and stores close idle connections after
 /// some seconds, and a request that is sent while the server closes may be lost.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+/// The same limit while nothing shows that the path to the endpoint works. Keep-alive hasn't begun then; once
+/// it gets no answer, it may end the connection just after a request was sent, which resets nothing.
+const MAX_UNPROVEN_IDLE_TIME: Duration = Duration::from_millis(900);
+/// Time for which a response from a failure domain shows that the path to it works.
+const PROOF_TIME: Duration = Duration::from_millis(900);
 /// Largest accepted response. The platform sends at most 500 rows or 1 MB, and objects of 8 MB.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -22,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct Pools {
     pools: RefCell<HashMap<Arc<str>, Arc<Pool>>>,
+    /// Time of the last response from each failure domain.
+    responses: RefCell<HashMap<Arc<str>, Duration>>,
 }
 
 impl Pools {
@@ -38,6 +45,20 @@
         }
     }
 
+    /// Records that an endpoint of a failure domain has responded.
+    pub fn record_response(&self, domain: &Arc<str>, now: Duration) {
+        self.responses.borrow_mut().insert(domain.clone(), now);
+    }
+
+    /// Returns the longest idle time of a connection to an endpoint of a failure domain that is used again.
+    pub fn max_idle(&self, domain: &str, now: Duration) -> Duration {
+        let responded_at = self.responses.borrow().get(domain).copied();
+        match responded_at.is_some_and(|at| now.saturating_sub(at) < PROOF_TIME) {
+            true => MAX_IDLE_TIME,
+            false => MAX_UNPROVEN_IDLE_TIME,
+        }
+    }
+
     /// Drops the pools of all endpoints for which `keep` returns `false`.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         self.pools.borrow_mut().retain(|endpoint, _| keep(endpoint));
--- a/tests/lost_call.rs
+++ b/tests/lost_call.rs
@@ -1,5 +1,6 @@
 //! A call that was given up must not reach the server later; see `docs/platform.md`.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -7,7 +8,7 @@
 use http_body_util::Full;
 use pomelolink::endpoint::pool::{Failure, Pool};
 use pomelolink::endpoint::socket::{Progress, Queue};
-use pomelolink::gateway::link::Client;
+use pomelolink::gateway::link::{Client, Pools};
 use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -15,6 +16,7 @@
 
 /// Instruction of a socket filter that returns a constant: the number of bytes of the segment to keep.
 const BPF_RETURN: u16 = 0x06;
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const MAX_IDLE: Duration = Duration::from_secs(4);
 /// Length of a body that does not fit into the buffers of both sockets.
 const BODY_BYTES: usize = 32 << 20;
@@ -138,6 +140,36 @@
     assert!(!progress.check(Queue { bytes: 500, unacked_segments: 1 }));
 }
 
+/// Guards against a request that is sent into a network partition on an idle connection, which keep-alive
+/// then ends without a reset.
+#[test]
+fn silent_domain_uses_no_idle_connection() {
+    let (pools, domain) = (Pools::default(), Arc::from("dk-a"));
+    let max_idle = |at: f64| pools.max_idle("dk-a", Duration::from_secs_f64(at));
+    assert!(max_idle(10.0) < KEEPALIVE_IDLE, "no response yet");
+    pools.record_response(&domain, Duration::from_secs(10));
+    assert!(max_idle(10.5) > KEEPALIVE_IDLE, "a recent response");
+    assert!(max_idle(11.0) < KEEPALIVE_IDLE, "no recent response");
+    let other = pools.max_idle("dk-b", Duration::from_secs_f64(10.5));
+    assert!(other < KEEPALIVE_IDLE, "no response from this domain");
+}
+
+#[tokio::test]
+async fn expired_idle_connection_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
+    let pool = Pool::unprobed(listener.local_addr().expect("local address"), MAX_IDLE);
+    for (max_idle, is_reused) in [(MAX_IDLE, true), (Duration::from_millis(20), false)] {
+        let connection = pool.checkout().await.expect("connect to the endpoint");
+        let (mut stream, _) = listener.accept().await.expect("accept a connection");
+        pool.put_back(connection);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let connection = pool.checkout_within(max_idle).await.expect("connect to the endpoint");
+        let read = timeout(Duration::from_millis(200), stream.read(&mut [0; 1])).await;
+        assert_eq!(read.is_err(), is_reused, "{read:?}");
+        drop(connection);
+    }
+}
+
 /// Guards against an order that is sent on an idle connection during a network partition and arrives when
 /// the partition heals. Seen as a lower fencing token after a higher one (trouble-3, 57.3 s).
 #[tokio::test]
