Read what endpoints state about themselves

Cause: no log line or metric told whether a node knows a rate limit that an endpoint names, so the hypotheses could not be told apart.

Change: the adapter reads the limit in one place, from any answer that is the endpoint's own. Nodes log its changes and tell their peers, with the age of the answer. Nothing acts on it yet.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 use crate::gateway::queue;
 use crate::gateway::refusal::Cause;
 use crate::gateway::relay::{Body, Splitter};
+use crate::gateway::statement;
 
 /// Largest response of a plain service; responses are buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -326,6 +327,9 @@
         placement.ignore_response();
         return Attempt::Unknown("response carries the id of another request".to_owned());
     }
+    if let Some(stated) = reply.statement {
+        statement::apply(node, &placement.endpoint, stated);
+    }
     let guard = Guard::new(pool, connection);
     if reply.is_not_run {
         placement.ignore_response();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,7 +22,9 @@
 use crate::gateway::peers::{Beat, DIGEST_INTERVAL, Summary};
 use crate::gateway::quarantine;
 use crate::gateway::quota;
+use crate::gateway::rate_limit::{self, Scope};
 use crate::gateway::shift;
+use crate::gateway::statement;
 
 /// Minimum interval between quota updates. Thirty nodes that receive many times the requests of a quota
 /// exceed it by what they admit in this time.
@@ -38,9 +40,9 @@
 /// Largest datagram that a node receives.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 9;
+const HEARTBEAT_FORMAT: u8 = 11;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 10;
+const DIGEST_FORMAT: u8 = 12;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -83,6 +85,9 @@
     /// State of each roll-out, with the good and bad responses of both versions.
     rollouts: Vec<shift::Report>,
     quarantine: quarantine::Report,
+    /// Rate limits of endpoints that have changed or, in a full heartbeat, all that responses to the node
+    /// have stated.
+    limits: Vec<rate_limit::Report>,
 }
 
 /// Name, failure domain and address of a node.
@@ -114,6 +119,8 @@
     outage_age_ms: Option<u64>,
     rollouts: Vec<shift::Report>,
     quarantine: quarantine::Report,
+    /// Rate limits that responses to the nodes of the domain have stated.
+    limits: Vec<rate_limit::Report>,
 }
 
 impl Digest {
@@ -192,6 +199,11 @@
         Some(_) => node.notices.borrow_mut().outgoing(now),
         None => Vec::new(),
     };
+    let scope = match (has_young_peer, is_full) {
+        (true, _) => Scope::All,
+        (false, true) => Scope::Own,
+        (false, false) => Scope::Changed,
+    };
     Heartbeat {
         format: HEARTBEAT_FORMAT,
         node: name,
@@ -214,6 +226,7 @@
         endpoints,
         rollouts: node.shifts.borrow().reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
+        limits: node.limits.borrow().reports(scope, now),
     }
 }
 
@@ -231,6 +244,7 @@
     let peers = node.peers.borrow();
     broadcast(&heartbeat, peers.direct_addresses(now), socket);
     node.quotas.borrow_mut().set_share(peers.quota_share(now));
+    statement::assign(node);
     node.balancer.borrow_mut().set_peer_loads(peers.loads(now).into_iter());
     // A peer may have released capacity that queued requests wait for.
     node.wake_all();
@@ -307,6 +321,7 @@
         outage_age_ms: outage.map(|outage| now.saturating_sub(outage).as_millis() as u64),
         rollouts: node.shifts.borrow().domain_reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
+        limits: node.limits.borrow().reports(Scope::Domain, now),
     }
 }
 
@@ -411,6 +426,8 @@
     }
     node.shifts.borrow_mut().merge_peer(source.0, source.1, heartbeat.rollouts, now);
     merge_quarantine(node, source.0, &heartbeat.quarantine, now);
+    let delay = receipt.delay.unwrap_or_default();
+    statement::apply_reports(node, source.0, &heartbeat.limits, false, delay);
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
     let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
@@ -455,6 +472,7 @@
     let start = crate::gateway::usage::DOMAIN_START;
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
     merge_quarantine(node, &digest.node, &digest.quarantine, now);
+    statement::apply_reports(node, &digest.node, &digest.limits, true, Duration::ZERO);
     follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -20,6 +20,7 @@
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::queue::{Queue, Rank};
 use crate::gateway::quota::Quotas;
+use crate::gateway::rate_limit::Limits;
 use crate::gateway::roster::Roster;
 use crate::gateway::settings::Settings;
 use crate::gateway::shift::Shifts;
@@ -108,6 +109,7 @@
     pub demand: RefCell<Demand>,
     pub shifts: RefCell<Shifts>,
     pub quarantine: RefCell<Quarantine>,
+    pub limits: RefCell<Limits>,
     pub peers: RefCell<Peers>,
     pub waiting: RefCell<HashMap<Arc<str>, Waiters>>,
     pub pools: Pools,
@@ -164,6 +166,7 @@
             demand: RefCell::default(),
             shifts: RefCell::new(Shifts::new(settings.bounds.exposure)),
             quarantine: RefCell::default(),
+            limits: RefCell::default(),
             peers: RefCell::new(peers),
             waiting: RefCell::default(),
             pools: Pools::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::balancer::Load;
+use crate::gateway::rate_limit::Fleet;
 
 /// Interval between heartbeats to each peer. The other nodes don't know of requests that a node sent to
 /// an endpoint within this time, so a shorter interval spreads a burst better but sends more bytes.
@@ -465,6 +466,34 @@
         (1 + recent + elsewhere) as f64 / self.fleet_size(now) as f64
     }
 
+    /// Returns the live nodes, by which the nodes share the rate limits of endpoints.
+    pub fn fleet(&self, now: Duration) -> Fleet {
+        let mut fleet = Fleet {
+            node: self.node.clone(),
+            domain: self.domain.clone(),
+            neighbors: Vec::new(),
+            domains: SmallVec::from_iter([(self.domain.clone(), 1)]),
+            share: self.quota_share(now),
+        };
+        for (name, peer) in self.recent(now) {
+            let Some(domain) = &peer.domain else { continue };
+            match fleet.domains.iter_mut().find(|(known, _)| known == domain) {
+                Some((_, count)) => *count += 1,
+                None => fleet.domains.push((domain.clone(), 1)),
+            }
+            if *domain == self.domain {
+                fleet.neighbors.push(name.clone());
+            }
+        }
+        if self.is_split {
+            let max_age = DIGEST_INTERVAL.mul_f64(SILENT_INTERVALS);
+            let relays = self.newest_relays();
+            let recent = relays.iter().filter(|(_, it)| now.saturating_sub(it.seen) < max_age);
+            fleet.domains.extend(recent.map(|(_, relay)| (relay.domain.clone(), relay.live)));
+        }
+        fleet
+    }
+
     /// Returns the correction of this node's Unix time, in milliseconds, to the median of all live direct
     /// peers.
     ///
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -243,6 +243,23 @@
     pub state: Option<Arc<str>>,
 }
 
+/// Requests per second that an endpoint takes from all nodes together, as a response states it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum RateLimit {
+    /// The response names no limit, which ends an earlier one.
+    #[default]
+    Absent,
+    PerSecond(f64),
+    /// The response names a limit that can't be read.
+    Unreadable,
+}
+
+/// What an endpoint states about itself in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Statement {
+    pub rate_limit: RateLimit,
+}
+
 /// Values that the gateway reads from the headers of an endpoint's response.
 #[derive(Debug, Clone, Default)]
 pub struct Reply {
@@ -251,6 +268,8 @@
     pub is_sealed: bool,
     /// Set if the endpoint states that it has not run the request and never will.
     pub is_not_run: bool,
+    /// What the endpoint states about itself; `None` if another process may have sent the response.
+    pub statement: Option<Statement>,
 }
 
 /// Functions that read and rewrite the platform's HTTP headers.
--- /dev/null
+++ b/src/gateway/statement.rs
@@ -0,0 +1,78 @@
+//! Applies what endpoints state about themselves in their responses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::gateway::clock;
+use crate::gateway::node::Node;
+use crate::gateway::platform::{Endpoint, Statement};
+use crate::gateway::rate_limit::{Limits, Outcome, Report};
+
+/// Applies the statement of a response whose head has just arrived, unless its endpoint has restarted or is
+/// no longer known.
+pub fn apply(node: &Node, endpoint: &Endpoint, statement: Statement) {
+    let is_current = node
+        .roster
+        .borrow()
+        .get(&endpoint.id)
+        .is_some_and(|entry| entry.endpoint.started_ms == endpoint.started_ms);
+    if !is_current {
+        return;
+    }
+    let outcome = node.limits.borrow_mut().record(endpoint, statement.rate_limit, clock::now());
+    match outcome {
+        Outcome::Unchanged => {}
+        Outcome::Changed(before, limit) => {
+            log_limit(&endpoint.id, before, limit, "response");
+            assign(node);
+        }
+        Outcome::Unreadable => {
+            log::warn!("statement: event=unreadable_limit endpoint={}", endpoint.id);
+        }
+    }
+}
+
+/// Applies the limits that a peer reports; `delay` is the time that its datagram took.
+pub fn apply_reports(
+    node: &Node,
+    peer: &str,
+    reports: &[Report],
+    is_other_domain: bool,
+    delay: Duration,
+) {
+    if reports.is_empty() {
+        return;
+    }
+    let roster = node.roster.borrow();
+    let find = |id: &str, started_ms: u64| {
+        let endpoint = &roster.get(id)?.endpoint;
+        (endpoint.started_ms == started_ms).then_some(&endpoint.domain)
+    };
+    let merge =
+        |limits: &mut Limits| limits.merge(reports, is_other_domain, find, delay, clock::now());
+    let changed = merge(&mut node.limits.borrow_mut());
+    for (id, before, limit) in &changed {
+        log_limit(id, *before, *limit, peer);
+    }
+    if !changed.is_empty() {
+        assign(node);
+    }
+}
+
+/// Updates the part of each limit that this node may use.
+pub fn assign(node: &Node) {
+    let mut limits = node.limits.borrow_mut();
+    if !limits.is_empty() {
+        let now = clock::now();
+        limits.assign(&node.peers.borrow().fleet(now), now);
+    }
+}
+
+fn log_limit(endpoint: &Arc<str>, before: Option<f64>, limit: Option<f64>, source: &str) {
+    let shown = |limit: Option<f64>| limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    log::info!(
+        "statement: event=limit endpoint={endpoint} per_s={} before={} source={source}",
+        shown(limit),
+        shown(before)
+    );
+}
