Keep to the rate limits of endpoints over all nodes

Cause: a limit stated in an answer was passed on to the caller and ignored. Equal parts for each node would not do: limits lie below the number of nodes.

Change: a few nodes use a limited endpoint, the fewer the lower its limit, each with an equal part from a token bucket; all derive them from the live nodes. All requests are paid where they are placed. The rest goes elsewhere, or is refused at once with a paced time to come back. The planner counts the unused part of an endpoint as missing.

--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -23,6 +23,8 @@
 pub struct Demand {
     /// Tokens requested at this node.
     own: HashMap<Arc<str>, u64>,
+    /// Number of requests at this node.
+    own_requests: HashMap<Arc<str>, u64>,
     /// Total last reported by each peer for each service, preceded by the start of that peer.
     peers: HashMap<(Arc<str>, Arc<str>), (u64, u64)>,
     /// Sum of the increases of the peers' totals.
@@ -38,6 +40,13 @@
     /// Counts the prompt tokens of a request at this node.
     pub fn record(&mut self, service: &Arc<str>, tokens: u32) {
         *self.own.entry(service.clone()).or_default() += u64::from(tokens);
+        *self.own_requests.entry(service.clone()).or_default() += 1;
+    }
+
+    /// Returns the mean tokens of a request at this node; 0 before the first one.
+    pub fn mean_tokens(&self, service: &str) -> f64 {
+        let count = |map: &HashMap<Arc<str>, u64>| map.get(service).copied().unwrap_or(0) as f64;
+        count(&self.own) / count(&self.own_requests).max(1.0)
     }
 
     /// Records a peer's total since its start; only increases within one run of the peer are counted.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -375,6 +375,9 @@
                 *other_counts.entry(kind).or_default() += 1;
             } else {
                 snapshot.add_endpoint(endpoint.domain.clone(), endpoint.reclaimable);
+                if let Some(rate) = node.limits.borrow().rate(&endpoint.id) {
+                    snapshot.add_limit(rate, node.demand.borrow().mean_tokens(&service.name));
+                }
             }
         }
         let is_in_progress = rollout.is_some_and(|(_, phase)| phase == Phase::InProgress);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -52,6 +52,8 @@
     /// Number of endpoints that are not leaving, by failure domain and whether they are
     /// reclaimable.
     pub endpoints: BTreeMap<(Arc<str>, bool), u32>,
+    /// Sum over the endpoints of the part of each that its rate limit keeps unused.
+    pub limited_endpoints: f64,
     /// Number of endpoints of the other version in a roll-out, by failure domain and whether they
     /// are reclaimable: of the new version until the roll-out completes, of the old one after that.
     /// `None` without a roll-out.
@@ -79,6 +81,13 @@
         u32::max(total(true), total(false))
     }
 
+    /// Counts the part of an endpoint that can't be used because it takes only `requests_per_s` requests of
+    /// `tokens` tokens to prefill.
+    pub fn add_limit(&mut self, requests_per_s: f64, tokens: f64) {
+        let planned = (self.prefill_tokens_per_s * PREFILL_SHARE).max(1.0);
+        self.limited_endpoints += 1.0 - (requests_per_s * tokens / planned).min(1.0);
+    }
+
     fn running(&self, domain: &Arc<str>, reclaimable: bool) -> u32 {
         self.endpoints.get(&(domain.clone(), reclaimable)).copied().unwrap_or(0)
     }
@@ -146,9 +155,9 @@
         self.snapshot = snapshot;
     }
 
-    /// Returns the number of endpoints that the demand needs.
+    /// Returns the number of endpoints that the demand needs, with those that make up for rate limits.
     fn needed(&self, now: Duration) -> u32 {
-        let demand = self.peak_endpoints.ceil() as u32;
+        let demand = (self.peak_endpoints + self.snapshot.limited_endpoints).ceil() as u32;
         let is_warm = now.saturating_sub(self.first_observed) >= WARM_UP;
         if is_warm { demand } else { demand.max(self.initial_count) }
     }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -52,6 +52,8 @@
 ) -> Option<Handover> {
     let placement = place::try_acquire(&node, &context, std::slice::from_ref(&from.id))?;
     let started_at = clock::now();
+    // The call relieves the endpoint of a request, so that it doesn't wait for the endpoint's limit.
+    node.limits.borrow_mut().spend(&from.id, started_at);
     let transfer = Transfer {
         id: context.metadata.id.clone(),
         from: from.address,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     retries: Option<IntCounterVec>,
     judgments: Option<IntCounterVec>,
     quarantined_parts: Option<IntCounterVec>,
+    limit_skips: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -56,6 +57,11 @@
             "Prompt parts that this node has quarantined because they crash endpoints.",
             &[],
         );
+        let limit_skips = counter(
+            "pomelolink_limit_skips_total",
+            "Requests kept from endpoints because their rate limits were used up, by service.",
+            &["service"],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -96,6 +102,7 @@
             retries,
             judgments,
             quarantined_parts,
+            limit_skips,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -156,6 +163,12 @@
         }
     }
 
+    pub fn record_limit_skip(&self, service: &str) {
+        if let Some(limit_skips) = &self.limit_skips {
+            limit_skips.with_label_values(&[service]).inc();
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format, with gauges set from the current state of
     /// the node.
     pub fn text(&self, node: &Rc<Node>) -> String {
@@ -175,6 +188,7 @@
         set("waiting_requests", waiting as i64);
         set("quota_share_permille", (node.peers.borrow().quota_share(now) * 1_000.0) as i64);
         set("quarantined_parts", node.quarantine.borrow().quarantined_count() as i64);
+        set("limited_endpoints", node.limits.borrow().limited_count() as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -17,8 +17,9 @@
 use crate::gateway::node::Node;
 use crate::gateway::platform::Endpoint;
 use crate::gateway::queue;
+use crate::gateway::rate_limit::{Limits, Permit};
 use crate::gateway::refusal::Cause;
-use crate::gateway::roster;
+use crate::gateway::roster::{self, Entry};
 use crate::gateway::verdict::{Conditions, Sample};
 
 /// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
@@ -26,6 +27,10 @@
 const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Advised time before a retry when a service has no endpoint; new ones take seconds to start.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// Part of the time until a request's deadline that it may wait for the rate limits of endpoints.
+const MAX_LIMIT_WAIT_SHARE: f64 = 0.5;
+/// Longest assumed time between two requests that the rate limits of endpoints allow.
+const MAX_LIMIT_INTERVAL: Duration = Duration::from_secs(60);
 /// Least divisor for the ratio of observed to estimated time, in seconds.
 const MIN_BASELINE_S: f64 = 0.005;
 
@@ -181,6 +186,7 @@
     let mut waiter: Option<Waiter> = None;
     loop {
         let now = clock::now();
+        let mut next_permit = None;
         let is_next = is_next(node, context, waiter.as_ref());
         match is_next.then(|| select(node, context, tried, deadline, now)) {
             Some(Selection::Endpoint(placement)) => {
@@ -215,7 +221,19 @@
                 );
                 return Err(busy(late.max(MIN_OVERLOAD_RETRY_AFTER)));
             }
-            Some(Selection::Full) | None => {}
+            Some(Selection::Limited(budget)) => {
+                let remaining = deadline.saturating_sub(now);
+                if budget.next > remaining.mul_f64(MAX_LIMIT_WAIT_SHARE) {
+                    return Err(refuse_limited(node, context, budget, now));
+                }
+                set_min_interval(node, context, budget.interval);
+                next_permit = Some(budget.next);
+            }
+            Some(Selection::Full(next)) => {
+                set_min_interval(node, context, Duration::ZERO);
+                next_permit = next;
+            }
+            None => {}
         }
         match &waiter {
             None => {
@@ -246,12 +264,42 @@
         }
         if let Some(waiter) = &waiter {
             let remaining = deadline.saturating_sub(clock::now());
+            let wait = next_permit.map_or(remaining, |next| remaining.min(next));
             // Both a wake-up and the timeout lead to a new decision.
-            let _ = tokio::time::timeout(remaining, waiter.notify.notified()).await;
+            let _ = tokio::time::timeout(wait, waiter.notify.notified()).await;
         }
     }
 }
 
+/// Sets the least time between two requests of a service that the rate limits of its endpoints allow.
+fn set_min_interval(node: &Node, context: &Context, interval: Duration) {
+    if let Some(waiting) = node.waiting.borrow_mut().get_mut(&context.service) {
+        waiting.queue.set_min_interval(interval);
+    }
+}
+
+/// Refuses a request because the rate limits of all endpoints are used up. All nodes hand out times to come
+/// back, so that callers return as fast as the endpoints take them.
+fn refuse_limited(node: &Node, context: &Context, budget: Budget, now: Duration) -> Refusal {
+    let nodes = node.peers.borrow().live_count(now);
+    let after = node.limits.borrow_mut().advise(
+        &context.service,
+        budget.rate,
+        nodes,
+        MIN_OVERLOAD_RETRY_AFTER,
+        now,
+    );
+    log::info!(
+        "place: event=limits_used id={} service={} endpoints={} per_s={:.1} advice_ms={}",
+        context.metadata.id,
+        context.service,
+        budget.endpoints,
+        budget.rate,
+        after.as_millis()
+    );
+    (Cause::Limited, Some(after))
+}
+
 /// Returns whether the request is the first to be served, or would be if it were queued.
 fn is_next(node: &Node, context: &Context, waiter: Option<&Waiter>) -> bool {
     let waiting = node.waiting.borrow();
@@ -298,7 +346,9 @@
 pub fn try_acquire(node: &Rc<Node>, context: &Context, tried: &[Arc<str>]) -> Option<Placement> {
     match select(node, context, tried, context.deadline, clock::now()) {
         Selection::Endpoint(placement) => Some(placement),
-        Selection::Late(_) | Selection::Full | Selection::NoEndpoint => None,
+        Selection::Late(_) | Selection::Full(_) | Selection::Limited(_) | Selection::NoEndpoint => {
+            None
+        }
     }
 }
 
@@ -307,12 +357,58 @@
     Endpoint(Placement),
     /// The response would start this much too late on the best endpoint that has capacity.
     Late(Duration),
-    /// All endpoints are full.
-    Full,
+    /// All endpoints are full, but this node may send a request to a limited one after this time, if any.
+    Full(Option<Duration>),
+    /// The rate limits of all endpoints are used up.
+    Limited(Budget),
     /// The service has no endpoint that may be tried.
     NoEndpoint,
 }
 
+/// What the rate limits of the endpoints allow that have no request left for this node now.
+#[derive(Debug, Clone, Copy)]
+struct Budget {
+    endpoints: usize,
+    /// Requests per second from all nodes.
+    rate: f64,
+    /// Time until this node may send the next request.
+    next: Duration,
+    /// Mean time between two requests of this node.
+    interval: Duration,
+}
+
+impl Budget {
+    /// Removes the endpoints to which this node may not send a request now; returns what their limits
+    /// allow, or `None` if there are none.
+    fn apply(
+        limits: &Limits,
+        entries: &mut SmallVec<[&Entry; 32]>,
+        now: Duration,
+    ) -> Option<Budget> {
+        let mut budget =
+            Budget { endpoints: 0, rate: 0.0, next: Duration::MAX, interval: MAX_LIMIT_INTERVAL };
+        let mut own_rate = 0.0;
+        entries.retain(|entry| {
+            let id = &entry.endpoint.id;
+            let permit = limits.permit(id, now);
+            if permit == Permit::Granted {
+                return true;
+            }
+            if let Permit::After(wait) = permit {
+                budget.next = budget.next.min(wait);
+            }
+            budget.endpoints += 1;
+            budget.rate += limits.rate(id).unwrap_or_default();
+            own_rate += limits.own_rate(id).unwrap_or_default();
+            false
+        });
+        if own_rate > 0.0 {
+            budget.interval = Duration::from_secs_f64(1.0 / own_rate).min(MAX_LIMIT_INTERVAL);
+        }
+        (budget.endpoints > 0).then_some(budget)
+    }
+}
+
 /// Selects an endpoint among those that were not tried and adds the request to its load.
 fn select(
     node: &Rc<Node>,
@@ -331,7 +427,7 @@
                 .as_ref()
                 .is_none_or(|selection| selection.admits(&entry.endpoint.version))
     };
-    let mut entries: SmallVec<[_; 32]> = roster
+    let mut entries: SmallVec<[&Entry; 32]> = roster
         .for_service(&context.service)
         .filter(is_eligible)
         .filter(|entry| entry.is_usable(now))
@@ -355,6 +451,17 @@
     if entries.is_empty() {
         return Selection::NoEndpoint;
     }
+    let mut limits = node.limits.borrow_mut();
+    let budget = match limits.is_empty() {
+        true => None,
+        false => Budget::apply(&limits, &mut entries, now),
+    };
+    if let Some(budget) = budget {
+        node.metrics.record_limit_skip(&context.service);
+        if entries.is_empty() {
+            return Selection::Limited(budget);
+        }
+    }
     let job = Job { prompt: context.metadata.prompt.as_ref(), hash: context.hash, deadline };
     let candidates = entries
         .iter()
@@ -364,8 +471,12 @@
     let choice = match balancer.choose(job, domain, candidates, engine.as_ref(), now) {
         Ok(choice) => choice,
         Err(Overload::Late(late)) => return Selection::Late(late),
-        Err(Overload::Full) => return Selection::Full,
+        Err(Overload::Full) => {
+            let next = budget.map(|budget| budget.next).filter(|next| *next < Duration::MAX);
+            return Selection::Full(next);
+        }
     };
+    limits.spend(&choice.endpoint, now);
     balancer.start_request(&choice, job.prompt, now);
     let Choice { endpoint, load, baseline, predicted, shows_prefill_rate } = choice;
     let Some(entry) = roster.get(&endpoint) else { return Selection::NoEndpoint };
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -35,6 +35,8 @@
     /// Moving average of the time between two releases.
     interval: Duration,
     last_release: Option<Duration>,
+    /// Least time between two requests that the rate limits of endpoints allow.
+    min_interval: Duration,
 }
 
 impl Default for Queue {
@@ -44,6 +46,7 @@
             serial: 0,
             interval: INITIAL_INTERVAL,
             last_release: None,
+            min_interval: Duration::ZERO,
         }
     }
 }
@@ -59,6 +62,11 @@
         self.last_release = Some(now);
     }
 
+    /// Sets the least time between two requests that the rate limits of endpoints allow.
+    pub fn set_min_interval(&mut self, interval: Duration) {
+        self.min_interval = interval;
+    }
+
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
@@ -111,7 +119,7 @@
 
     /// Returns the expected time until a request with `ahead` others before it is served.
     fn expected_wait(&self, ahead: usize) -> Duration {
-        self.interval * (ahead as u32 + 1)
+        self.interval.max(self.min_interval) * (ahead as u32 + 1)
     }
 
     /// Returns the advised time before a retry: twice the time to serve the whole queue, within bounds.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,6 +27,8 @@
     Stopping,
     /// The request would miss its deadline in the queue or at the endpoints.
     Busy,
+    /// All endpoints have named rate limits, and these are used up.
+    Limited,
     /// A part of the prompt crashes endpoints.
     Quarantined,
     /// Endpoints refused the request or could not be reached; it did not run.
@@ -38,7 +40,7 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 16] = [
+    const ALL: [Cause; 17] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
@@ -51,6 +53,7 @@
         Cause::NoEndpoint,
         Cause::Stopping,
         Cause::Busy,
+        Cause::Limited,
         Cause::Quarantined,
         Cause::NotRun,
         Cause::Unknown,
@@ -86,6 +89,9 @@
                 "it would have missed the target latency of its route, in the queue or at the endpoints; \
                  see queue_full, queue_late or crowded"
             }
+            Cause::Limited => {
+                "its service's endpoints had named rate limits, which were used up; see limits_used"
+            }
             Cause::Quarantined => {
                 "a part of its prompt has crashed endpoints; see quarantined and crash: event=checked"
             }
@@ -113,6 +119,7 @@
             Cause::NoEndpoint => "no_endpoint",
             Cause::Stopping => "stopping",
             Cause::Busy => "busy",
+            Cause::Limited => "limited",
             Cause::Quarantined => "quarantined",
             Cause::NotRun => "not_run",
             Cause::Unknown => "unknown",
@@ -134,6 +141,7 @@
             | Cause::StaleKeys
             | Cause::NoEndpoint
             | Cause::Busy
+            | Cause::Limited
             | Cause::Quarantined
             | Cause::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Unknown => StatusCode::BAD_GATEWAY,
--- a/tests/fleet_orders.rs
+++ b/tests/fleet_orders.rs
@@ -33,6 +33,8 @@
     booting: Vec<(Duration, (Arc<str>, bool), u32)>,
     /// Whether the platform refuses orders for reclaimable endpoints.
     is_reclaimable_sold_out: bool,
+    /// Endpoints that rate limits keep unused.
+    limited_endpoints: f64,
     orders: u32,
 }
 
@@ -49,6 +51,7 @@
             running: running.collect(),
             booting: Vec::new(),
             is_reclaimable_sold_out: false,
+            limited_endpoints: 0.0,
             orders: 0,
         }
     }
@@ -71,6 +74,7 @@
                 prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
                 slots: 32,
                 endpoints: self.running.clone(),
+                limited_endpoints: self.limited_endpoints,
                 other_version: None,
             };
             self.planner.observe(&"s".into(), &scaling(), snapshot, now);
@@ -233,3 +237,28 @@
         "{replacements:?}"
     );
 }
+
+/// Guards against a limited endpoint that is counted as a whole one.
+#[test]
+fn limited_endpoints_are_replaced() {
+    let mut simulation = Simulation::new();
+    simulation.run(40, 340_000);
+    let before = simulation.count(true) + simulation.count(false);
+    simulation.limited_endpoints = 6.0;
+    simulation.run(8, 340_000);
+    let limited = simulation.count(true) + simulation.count(false);
+    assert!(limited >= before + 6, "{before} before, {limited} with six unused");
+    simulation.limited_endpoints = 0.0;
+    simulation.run(20, 340_000);
+    assert_eq!(simulation.count(true) + simulation.count(false), before);
+}
+
+/// Guards against a limit that counts as lost capacity though the endpoint's planned load is below it.
+#[test]
+fn limit_counts_what_it_keeps_unused() {
+    let mut snapshot = Snapshot { prefill_tokens_per_s: 10_000.0, ..Snapshot::default() };
+    snapshot.add_limit(100.0, 1_000.0);
+    assert!(snapshot.limited_endpoints.abs() < 1e-9);
+    snapshot.add_limit(0.0, 1_000.0);
+    assert!((snapshot.limited_endpoints - 1.0).abs() < 1e-9);
+}
