Compare versions of the store within their era

Cause: a restored store gives out version numbers again. Nodes compared the bare numbers with those read before the restore, and took what peers told them for old.

Change: era and number are one value, in reads, long polls, notices, heartbeats, revisions and conditions. An answer of an earlier era is no answer; a long poll that ends in another era reads the whole table. Logs and metrics tell of the era and of restores, and own rows are written again. The tests' store restores from a copy on request.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,7 @@
 mod stop;
 pub mod usage;
 pub mod verdict;
+pub mod version;
 
 pub use node::Node;
 
--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3;
+
 use crate::gateway::clock;
 use crate::gateway::node::Node;
 use crate::gateway::platform::Rows;
@@ -18,6 +20,8 @@
 /// Interval between the first two reads of a reader: nodes that start together are not listed yet at the
 /// first. A node that knows no other is its own reader.
 const SECOND_READ_DELAY: Duration = Duration::from_secs(3);
+/// Time over which the nodes register again after a restore of the store.
+const REGISTER_AGAIN_TIME: Duration = Duration::from_secs(3);
 /// Delay after a failed read or write of the list.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Age from which a row is ignored. A node writes its row again at a third of it.
@@ -29,8 +33,16 @@
     let mut is_registered = false;
     let mut read_at: Option<Duration> = None;
     let mut reads = 0;
+    let mut era = node.store_era.get();
     loop {
         let now = clock::now();
+        // A restored store may have lost this node's row. Each node checks at a time of its own.
+        if std::mem::replace(&mut era, node.store_era.get()) != era && read_at.is_some() {
+            let position = xxh3::xxh3_64(node.settings.node.as_bytes()) % 1_000;
+            tokio::time::sleep(REGISTER_AGAIN_TIME.mul_f64(position as f64 / 1_000.0)).await;
+            read_at = None;
+            continue;
+        }
         let interval = match node.peers.borrow().is_reader(now) {
             true if reads < 2 => SECOND_READ_DELAY,
             true => READER_INTERVAL,
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -16,6 +16,7 @@
 use crate::gateway::node::Node;
 use crate::gateway::platform::{Acceptance, Fence, Order, Phase, Progress, Usage};
 use crate::gateway::recall;
+use crate::gateway::version::Version;
 use crate::lease::{Action, Event, Grant, State};
 use crate::platform::{Outcome, Transaction};
 
@@ -136,9 +137,14 @@
 
 async fn update_and_report(context: Rc<DutyContext>) {
     let mut usage_reporter = UsageReporter::default();
-    let mut reported: HashMap<(Arc<str>, u64), Phase> = HashMap::new();
+    let mut reported: HashMap<(Arc<str>, Version), Phase> = HashMap::new();
+    let mut era = context.node.store_era.get();
     loop {
         tokio::time::sleep(REPORT_PERIOD).await;
+        // The store may have lost what was reported.
+        if std::mem::replace(&mut era, context.node.store_era.get()) != era {
+            reported.clear();
+        }
         context.node.shifts.borrow_mut().update_stages(clock::now());
         for judgment in context.node.shifts.borrow_mut().take_judgments() {
             context.node.metrics.record_judgment(judgment.reason);
@@ -164,7 +170,10 @@
 }
 
 /// Reports each change of a roll-out's phase to the platform, where operators read it.
-async fn report_phases(context: &Rc<DutyContext>, reported: &mut HashMap<(Arc<str>, u64), Phase>) {
+async fn report_phases(
+    context: &Rc<DutyContext>,
+    reported: &mut HashMap<(Arc<str>, Version), Phase>,
+) {
     let node = &context.node;
     let phases = node.shifts.borrow().phases(clock::now());
     for (service, version, revision, phase) in phases {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 use crate::gateway::notice::{self, Notice};
 use crate::gateway::peers::Receipt;
 use crate::gateway::platform::{Change, Declaration, LongPoll};
+use crate::gateway::version::Version;
 use crate::platform::Failure;
 
 /// Longest wait of a long poll for declarations.
@@ -46,9 +47,9 @@
 #[derive(Debug, Default)]
 pub struct Declared {
     /// Version of the newest change that this node has read.
-    version: Cell<u64>,
+    version: Cell<Version>,
     /// Version of the newest change that a peer has read.
-    told: Cell<u64>,
+    told: Cell<Version>,
     /// Time at which this node's own last successful read was sent.
     own_read_at: Cell<Option<Duration>>,
     /// Notified when a peer has read a newer version.
@@ -59,11 +60,13 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Reading {
     /// Version of the newest change of the declarations, and the age of the read that found none after it.
-    declared: u64,
+    declared: Version,
     declarations_age_ms: u32,
     /// Age of the last read of the endpoints, and age from which on the notices hold all changes.
     endpoints_age_ms: u32,
     notices_age_ms: u32,
+    /// Era of the store in which the endpoints were read.
+    endpoints_era: u64,
     /// Time since the last failed read, if any.
     outage_age_ms: Option<u32>,
 }
@@ -99,6 +102,7 @@
         declarations_age_ms: declarations.as_millis() as u32,
         endpoints_age_ms: endpoints.as_millis() as u32,
         notices_age_ms: age(covered_since).unwrap_or_default().as_millis() as u32,
+        endpoints_era: node.notices.borrow().era(),
         outage_age_ms: outage.map(|age| age.as_millis() as u32),
     })
 }
@@ -120,6 +124,10 @@
     if reading.declared == known.version.get() && node.declarations_read_at.get().is_some() {
         node.declarations_read_at.set(node.declarations_read_at.get().max(declarations));
     }
+    // What the peer read in another era says nothing about this node's list.
+    if reading.endpoints_era != node.notices.borrow().era() {
+        return;
+    }
     let covered_since = receipt.contiguous_since.max(time_of(reading.notices_age_ms));
     let is_complete = |known: Duration| known >= covered_since;
     if node.endpoints_read_at.get().is_some_and(is_complete) {
@@ -128,6 +136,21 @@
     }
 }
 
+/// Records the era of a read. What the store has lost is written again within some seconds: until then, endpoints
+/// that are missing are doubted only, and this node writes its own rows again.
+fn observe_era(node: &Node, era: u64) {
+    let before = node.store_era.get();
+    if before.is_some_and(|before| era <= before) {
+        return;
+    }
+    node.store_era.set(Some(era));
+    if let Some(before) = before {
+        log::warn!("follow: event=store_restored era={era} before={before}");
+        node.metrics.record_restore();
+        node.roster.borrow_mut().record_store_outage(clock::now());
+    }
+}
+
 /// Watches the declarations until the process ends: by long polls while this node reads them for its
 /// direct peers, otherwise by single reads when a peer has read a newer version or none reports.
 pub async fn watch_declarations(node: Rc<Node>) {
@@ -153,13 +176,14 @@
                 log_connection(&mut is_connected, true, "declarations", "");
                 node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
-                node.declarations_read_at.set(node.declarations_read_at.get().max(Some(sent)));
+                observe_era(&node, batch.version.era);
                 node.declared.own_read_at.set(Some(sent));
                 after = Some(batch.version);
                 for declaration in batch.changes {
                     apply_declaration(&node, declaration);
                 }
                 node.declared.record(batch.newest_change, batch.version);
+                node.declarations_read_at.set(node.declarations_read_at.get().max(Some(sent)));
             }
             Err(failure) => {
                 log_connection(&mut is_connected, false, "declarations", &failure.to_string());
@@ -177,7 +201,7 @@
 
 impl Declared {
     /// Records a read up to `read_version` whose newest change has the version `newest_change`.
-    fn record(&self, newest_change: u64, read_version: u64) {
+    fn record(&self, newest_change: Version, read_version: Version) {
         let mut version = self.version.get().max(newest_change);
         // A whole table doesn't show removed rows, so their versions are only known from peers.
         if self.told.get() <= read_version {
@@ -256,6 +280,7 @@
                 log_connection(&mut is_connected, true, "endpoints", "");
                 node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
+                observe_era(&node, batch.version.era);
                 after = Some(batch.version);
                 let is_complete = batch.is_complete;
                 let mut changes = node.notices.borrow_mut().apply_batch(batch);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -40,9 +40,9 @@
 /// Largest datagram that a node receives.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 11;
+const HEARTBEAT_FORMAT: u8 = 13;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 12;
+const DIGEST_FORMAT: u8 = 14;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
     judgments: Option<IntCounterVec>,
     quarantined_parts: Option<IntCounterVec>,
     limit_skips: Option<IntCounterVec>,
+    restores: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -62,6 +63,11 @@
             "Requests kept from endpoints because their rate limits were used up, by service.",
             &["service"],
         );
+        let restores = counter(
+            "pomelolink_store_restores_total",
+            "Restores of the platform's store from a copy that this node has seen.",
+            &[],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -103,6 +109,7 @@
             judgments,
             quarantined_parts,
             limit_skips,
+            restores,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -163,6 +170,12 @@
         }
     }
 
+    pub fn record_restore(&self) {
+        if let Some(restores) = &self.restores {
+            restores.with_label_values::<&str>(&[]).inc();
+        }
+    }
+
     pub fn record_limit_skip(&self, service: &str) {
         if let Some(limit_skips) = &self.limit_skips {
             limit_skips.with_label_values(&[service]).inc();
@@ -188,6 +201,7 @@
         set("waiting_requests", waiting as i64);
         set("quota_share_permille", (node.peers.borrow().quota_share(now) * 1_000.0) as i64);
         set("quarantined_parts", node.quarantine.borrow().quarantined_count() as i64);
+        set("store_era", node.store_era.get().map_or(-1, |era| era as i64));
         set("limited_endpoints", node.limits.borrow().limited_count() as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
         self.set_labeled_gauges(node, now);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -94,6 +94,8 @@
     /// or by a peer that found no newer version.
     pub declarations_read_at: Cell<Option<Duration>>,
     pub declared: follow::Declared,
+    /// Newest era of the store that this node has seen; `None` before the first read.
+    pub store_era: Cell<Option<u64>>,
     pub roster: RefCell<Roster>,
     pub notices: RefCell<Notices>,
     /// Time as of which the endpoints are known: when the last successful read was sent, by this node or
@@ -154,6 +156,7 @@
             catalog: RefCell::default(),
             declarations_read_at: Cell::default(),
             declared: follow::Declared::default(),
+            store_era: Cell::default(),
             roster: RefCell::default(),
             notices: RefCell::default(),
             endpoints_read_at: Cell::default(),
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::platform::{Batch, Change, Endpoint};
 use crate::gateway::roster;
+use crate::gateway::version::Version;
 
 /// Time for which a change is sent repeatedly, in several datagrams in case some are lost. It is longer
 /// than the gap between two heartbeats after which a node no longer relies on the notices of a peer.
@@ -23,7 +24,7 @@
 /// A change with the version of the list at which it was read.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Notice {
-    pub version: u64,
+    pub version: Version,
     pub change: Change,
 }
 
@@ -43,9 +44,9 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     /// Version up to which this node has read all changes.
-    version: u64,
+    version: Version,
     /// Later versions that were received from peers, by endpoint.
-    gossiped: HashMap<Arc<str>, u64>,
+    gossiped: HashMap<Arc<str>, Version>,
     /// Changes that this node has read or been told, each with the time at which it learned of it.
     recent: VecDeque<(Duration, Notice)>,
     /// Time since which this node reports its reads to its peers, so that they rely on its notices.
@@ -53,6 +54,11 @@
 }
 
 impl Notices {
+    /// Returns the era of the store in which this node has read the list.
+    pub fn era(&self) -> u64 {
+        self.version.era
+    }
+
     /// Records a read from the store; returns its changes without those that a change received from a
     /// peer supersedes.
     pub fn apply_batch(&mut self, batch: Batch<Change>) -> Vec<Change> {
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::gateway::version::Version;
 use crate::gateway::{catalog, metrics};
 use crate::platform::{Failure, Outcome, Row, Transaction};
 
@@ -22,7 +23,7 @@
 /// Long poll for the changes after a version; without a version, for everything.
 #[derive(Debug, Clone, Copy)]
 pub struct LongPoll {
-    pub after: Option<u64>,
+    pub after: Option<Version>,
     /// Longest time that the platform holds the call until there is a change.
     pub wait: Duration,
 }
@@ -31,9 +32,9 @@
 #[derive(Debug)]
 pub struct Batch<T> {
     pub changes: Vec<T>,
-    pub version: u64,
-    /// Version of the newest of the changes; 0 without changes.
-    pub newest_change: u64,
+    pub version: Version,
+    /// Version of the newest of the changes; the number is 0 without changes.
+    pub newest_change: Version,
     /// Set if `changes` is the whole current content instead of the changes after a version.
     pub is_complete: bool,
 }
@@ -46,7 +47,7 @@
         service: Arc<str>,
         version: Arc<str>,
         time_limit: Duration,
-        revision: u64,
+        revision: Version,
     },
 }
 
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -14,6 +14,7 @@
 use crate::gateway::platform::Phase;
 use crate::gateway::usage::DOMAIN_START;
 use crate::gateway::verdict::{Analysis, Conditions, Evidence, Excess, Sample, Stage};
+use crate::gateway::version::Version;
 
 /// Least traffic share of the canary; a service with many requests shows enough at it.
 const MIN_CANARY_SHARE: f64 = 0.04;
@@ -89,7 +90,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     service: Arc<str>,
-    revision: u64,
+    revision: Version,
     /// Number of nodes whose samples the evidence sums up.
     #[serde(default)]
     nodes: u32,
@@ -120,7 +121,7 @@
 struct Shift {
     version: Arc<str>,
     time_limit: Duration,
-    revision: u64,
+    revision: Version,
     read_at: Duration,
     /// Time for which the roll-out had already run when this node read its declaration.
     prior_elapsed: Duration,
@@ -363,7 +364,7 @@
         service: Arc<str>,
         version: Arc<str>,
         time_limit: Duration,
-        revision: u64,
+        revision: Version,
         now: Duration,
     ) {
         if self.shifts.get(&service).is_some_and(|shift| shift.revision >= revision) {
@@ -401,7 +402,7 @@
             Phase::Completed => true,
             Phase::Reverted => false,
             Phase::InProgress => {
-                let position = xxh3::xxh3_64_with_seed(&hash.to_le_bytes(), shift.revision);
+                let position = xxh3::xxh3_64_with_seed(&hash.to_le_bytes(), shift.revision.number);
                 (position as f64 / u64::MAX as f64) < shift.share()
             }
         };
@@ -442,7 +443,7 @@
     }
 
     /// Applies a phase that has been reported to the platform, if the revision matches.
-    pub fn apply_phase(&mut self, service: &str, revision: u64, phase: Phase) {
+    pub fn apply_phase(&mut self, service: &str, revision: Version, phase: Phase) {
         if let Some(shift) = self.shifts.get_mut(service)
             && shift.revision == revision
         {
@@ -452,7 +453,7 @@
 
     /// Returns service, version, revision and phase of each roll-out; a phase that ends the roll-out
     /// takes effect with `apply_phase`.
-    pub fn phases(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>, u64, Phase)> {
+    pub fn phases(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>, Version, Phase)> {
         let entry = |(service, shift): (&Arc<str>, &Shift)| {
             (service.clone(), shift.version.clone(), shift.revision, shift.decide_phase(now))
         };
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -6,6 +6,7 @@
 use pomelolink::gateway::notice::{self, Notice, Notices};
 use pomelolink::gateway::platform::{Batch, Change, Endpoint};
 use pomelolink::gateway::roster::Roster;
+use pomelolink::gateway::version::Version;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -25,11 +26,12 @@
 }
 
 fn batch(version: u64, changes: Vec<Change>) -> Batch<Change> {
+    let version = Version::new(1, version);
     Batch { changes, version, newest_change: version, is_complete: false }
 }
 
 fn gone(version: u64) -> Notice {
-    Notice { version, change: Change::Removed(Arc::from("e")) }
+    Notice { version: Version::new(1, version), change: Change::Removed(Arc::from("e")) }
 }
 
 /// Guards against an endpoint that reappears because a node reads an older state from the store after it
@@ -70,7 +72,10 @@
     notices.publish(&[endpoint(true)], |_| true, NOW);
     let outgoing = notices.outgoing(NOW + Duration::from_millis(300));
     let Change::Updated(endpoint) = &outgoing[0].change else { panic!("{outgoing:?}") };
-    assert_eq!((outgoing[0].version, endpoint.leaves_in), (10, Some(Duration::from_millis(1_700))));
+    assert_eq!(
+        (outgoing[0].version, endpoint.leaves_in),
+        (Version::new(1, 10), Some(Duration::from_millis(1_700)))
+    );
     assert!(notices.outgoing(NOW + Duration::from_secs(1)).is_empty());
 }
 
@@ -80,8 +85,12 @@
     let mut notices = Notices::default();
     notices.apply_batch(batch(10, vec![]));
     notices.apply_notice(gone(14), NOW);
-    let complete =
-        Batch { changes: vec![endpoint(false)], version: 12, newest_change: 12, is_complete: true };
+    let complete = Batch {
+        changes: vec![endpoint(false)],
+        version: Version::new(1, 12),
+        newest_change: Version::new(1, 12),
+        is_complete: true,
+    };
     assert_eq!(notices.apply_batch(complete), vec![endpoint(false)]);
 }
 
@@ -125,6 +134,6 @@
     let covered_since = notices.report(true, later);
     assert!(covered_since <= NOW, "peers that know less have to read the store themselves");
     let sent: Vec<_> = notices.outgoing(later).into_iter().map(|it| it.version).collect();
-    assert_eq!(sent, [14]);
+    assert_eq!(sent, [Version::new(1, 14)]);
     assert!(notices.outgoing(later + Duration::from_secs(1)).is_empty());
 }
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -6,6 +6,7 @@
 use pomelolink::gateway::platform::Phase;
 use pomelolink::gateway::shift::Shifts;
 use pomelolink::gateway::verdict::{Conditions, Sample};
+use pomelolink::gateway::version::Version;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -28,7 +29,7 @@
 fn simulate(is_good: impl Fn(Duration, u64) -> bool) -> (f64, Phase) {
     let mut shifts = Shifts::default();
     let start = Duration::from_secs(100);
-    shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     let total = u64::from(REQUESTS_PER_S) * TIME_LIMIT.as_secs();
     let mut new = 0;
     for request in 0..total {
@@ -82,7 +83,7 @@
     let (mut node, mut peer) = (Shifts::default(), Shifts::default());
     let start = Duration::from_secs(100);
     for shifts in [&mut node, &mut peer] {
-        shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+        shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     }
     for _ in 0..20 {
         record(&mut node, "v2", false, start);
@@ -100,12 +101,12 @@
     let (mut peer, mut node) = (Shifts::default(), Shifts::default());
     let start = Duration::from_secs(100);
     for shifts in [&mut peer, &mut node] {
-        shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+        shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     }
     for _ in 0..20 {
         record(&mut node, "v2", false, start);
     }
-    peer.apply_phase("s", 7, Phase::Completed);
+    peer.apply_phase("s", Version::new(0, 7), Phase::Completed);
     node.merge_peer(&Arc::from("n1"), 1, peer.reports(start), start);
     let selection = node.select("s", 1).expect("a roll-out is known");
     assert!(selection.admits("v2") && selection.allows_fallback());
@@ -117,9 +118,9 @@
 fn reverted_version_never_serves() {
     let mut shifts = Shifts::default();
     let start = Duration::from_secs(100);
-    shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     assert!(shifts.select("s", 1).expect("a roll-out is in progress").allows_fallback());
-    shifts.apply_phase("s", 7, Phase::Reverted);
+    shifts.apply_phase("s", Version::new(0, 7), Phase::Reverted);
     assert!(!shifts.select("s", 1).expect("a roll-out is known").allows_fallback());
 }
 
@@ -128,12 +129,12 @@
 fn restart_keeps_the_deadline() {
     let (mut node, mut restarted) = (Shifts::default(), Shifts::default());
     let start = Duration::from_secs(100);
-    node.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    node.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     for _ in 0..20 {
         record(&mut node, "v2", true, start);
     }
     let later = start + TIME_LIMIT.mul_f64(0.7);
-    restarted.start("s".into(), "v2".into(), TIME_LIMIT, 7, later);
+    restarted.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), later);
     restarted.merge_peer(&Arc::from("n1"), 1, node.reports(later), later);
     let phases = restarted.phases(start + TIME_LIMIT.mul_f64(0.96));
     assert_eq!(phases[0].3, Phase::Completed);
@@ -146,10 +147,16 @@
 fn full_restart_keeps_deadline() {
     let (mut node, mut restarted) = (Shifts::default(), Shifts::default());
     let (start, boot) = (Duration::from_secs(100), Duration::from_secs(1));
-    node.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    node.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     let reports = node.reports_without_evidence(start + TIME_LIMIT.mul_f64(0.7));
     restarted.restore(reports, Duration::ZERO, boot);
-    restarted.start("s".into(), "v2".into(), TIME_LIMIT, 7, boot + TIME_LIMIT.mul_f64(0.1));
+    restarted.start(
+        "s".into(),
+        "v2".into(),
+        TIME_LIMIT,
+        Version::new(0, 7),
+        boot + TIME_LIMIT.mul_f64(0.1),
+    );
     for _ in 0..20 {
         record(&mut restarted, "v2", true, boot);
     }
@@ -164,7 +171,7 @@
     for seed in 0..200_u64 {
         let mut random = SmallRng::seed_from_u64(seed);
         let mut shifts = Shifts::default();
-        shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, Duration::ZERO);
+        shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), Duration::ZERO);
         let mut bad = 0;
         for answer in 0..10_000 {
             let is_new = answer % 12 == 0;
@@ -188,7 +195,7 @@
     let is_reverted = |seed: &u64| {
         let mut random = SmallRng::seed_from_u64(*seed);
         let mut shifts = Shifts::default();
-        shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, Duration::ZERO);
+        shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), Duration::ZERO);
         for answer in 0..4_000 {
             let version = if answer % 12 == 0 { "v2" } else { "v1" };
             record(&mut shifts, version, !random.random_bool(0.125), Duration::ZERO);
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -6,6 +6,7 @@
 use pomelolink::gateway::platform::Phase;
 use pomelolink::gateway::shift::{Exposure, Shifts};
 use pomelolink::gateway::verdict::{Analysis, Conditions, Evidence, Sample, Stage};
+use pomelolink::gateway::version::Version;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -92,7 +93,7 @@
     let start = Duration::from_secs(100);
     let mut nodes: Vec<Shifts> = (0..play.nodes).map(|_| Shifts::new(EXPOSURE)).collect();
     for node in &mut nodes {
-        node.start("s".into(), "v2".into(), play.time_limit, 7, start);
+        node.start("s".into(), "v2".into(), play.time_limit, Version::new(0, 7), start);
     }
     let names: Vec<Arc<str>> = (0..play.nodes).map(|index| format!("n{index}").into()).collect();
     let mut outcome = Outcome { phase: Phase::InProgress, new: 0.0, all: 0.0 };
@@ -103,7 +104,7 @@
         if trouble == Trouble::Kill && tick == ticks / 2 {
             for node in &mut nodes[..2] {
                 *node = Shifts::new(EXPOSURE);
-                node.start("s".into(), "v2".into(), play.time_limit, 7, now);
+                node.start("s".into(), "v2".into(), play.time_limit, Version::new(0, 7), now);
             }
         }
         let reports: Vec<_> = nodes.iter().map(|node| node.reports(now)).collect();
@@ -245,7 +246,7 @@
 fn unproven_version_is_reverted_at_deadline() {
     let now = Duration::from_secs(100);
     let mut shifts = Shifts::new(EXPOSURE);
-    shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, now);
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), now);
     let phase = |elapsed: f64| shifts.phases(now + TIME_LIMIT.mul_f64(elapsed))[0].3;
     assert_eq!((phase(0.99), phase(1.01)), (Phase::InProgress, Phase::Reverted));
 }
@@ -348,7 +349,7 @@
 fn weak_evidence_reverts_before_completion() {
     let start = Duration::from_secs(100);
     let mut shifts = Shifts::new(EXPOSURE);
-    shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, start);
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
     let at = |fraction: f64| start + TIME_LIMIT.mul_f64(fraction);
     let record = |shifts: &mut Shifts, version, stage, ratio, count| {
         for _ in 0..count {
@@ -374,7 +375,7 @@
     let now = Duration::from_secs(100);
     let (mut lost, mut node) = (Shifts::default(), Shifts::default());
     for shifts in [&mut lost, &mut node] {
-        shifts.start("s".into(), "v2".into(), TIME_LIMIT, 7, now);
+        shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), now);
     }
     let conditions = Conditions::new(Stage::Canary, "book");
     for answer in 0..200 {
--- /dev/null
+++ b/tests/store_eras.rs
@@ -0,0 +1,97 @@
+//! What nodes know across a restore of the platform's store from an older copy, without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelolink::gateway::notice::{Notice, Notices};
+use pomelolink::gateway::platform::{Batch, Change, Endpoint, Phase};
+use pomelolink::gateway::roster::Roster;
+use pomelolink::gateway::shift::Shifts;
+use pomelolink::gateway::version::{Eras, Observed, Version};
+use pomelolink::lease::{Action, Event, State};
+use pomelolink::platform::{Outcome, Row};
+
+const TIME_LIMIT: Duration = Duration::from_secs(12);
+const DRAIN: Duration = Duration::from_secs(2);
+const TERM: Duration = Duration::from_secs(3);
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn endpoint(draining: bool, started_ms: u64) -> Endpoint {
+    Endpoint {
+        id: "e".into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        domain: "a".into(),
+        version: "v1".into(),
+        slots: 8,
+        draining,
+        reclaimable: false,
+        leaves_in: None,
+        started_ms,
+    }
+}
+
+/// Guards against a version of an earlier era that counts as newer because its number is higher.
+#[test]
+fn era_decides_before_number() {
+    let (old, new) = (Version::new(1, 900), Version::new(2, 5));
+    assert!(old < new && old.packed() < new.packed());
+    assert_eq!(Version::unpack(old.packed()), old);
+    let largest = Version::new(u64::MAX, u64::MAX);
+    assert_eq!(Version::unpack(largest.packed()), largest);
+}
+
+/// Guards against answers that were under way during a restore, and against eras that are absent, fall or
+/// can't be read.
+#[test]
+fn answers_of_an_earlier_era_are_stale() {
+    let mut eras = Eras::default();
+    assert_eq!(eras.observe(None, at(1)), Observed::Current(0));
+    assert_eq!(eras.observe(Some(4), at(2)), Observed::Current(4));
+    assert_eq!(eras.observe(Some(5), at(3)), Observed::Current(5));
+    assert_eq!(eras.observe(Some(4), at(4)), Observed::Stale);
+    assert_eq!(eras.observe(None, at(4)), Observed::Current(5));
+    assert_eq!(eras.observe(Some(u64::MAX), at(4)), Observed::Current(5));
+    // No answer is delayed for so long: the store has lost its era.
+    assert_eq!(eras.observe(Some(1), at(20)), Observed::Current(5));
+    assert_eq!(eras.observe(Some(6), at(21)), Observed::Current(6));
+}
+
+/// Guards against notices that a node ignores because it has read a higher number before the restore, and
+/// against those that a peer still sends of the time before.
+#[test]
+fn notices_of_the_new_era_take_effect() {
+    let mut notices = Notices::default();
+    let batch = |version: Version, is_complete| Batch {
+        changes: Vec::new(),
+        version,
+        newest_change: version,
+        is_complete,
+    };
+    notices.apply_batch(batch(Version::new(1, 900), false));
+    let gone = |version| Notice { version, change: Change::Removed("e".into()) };
+    assert!(notices.apply_notice(gone(Version::new(2, 40)), at(1)).is_some());
+    assert!(notices.apply_notice(gone(Version::new(1, 950)), at(1)).is_none());
+    notices.apply_batch(batch(Version::new(2, 60), true));
+    assert_eq!(notices.era(), 2);
+    assert!(notices.apply_notice(gone(Version::new(1, 990)), at(2)).is_none());
+}
+
+fn start(shifts: &mut Shifts, version: &str, revision: Version, now: Duration) {
+    shifts.start("s".into(), version.into(), TIME_LIMIT, revision, now);
+}
+
+fn phase(shifts: &Shifts) -> (Arc<str>, Phase) {
+    let (version, phase) = shifts.phase("s").expect("a roll-out");
+    (version.clone(), phase)
+}
+
+fn acquire(state: &mut State, now: Duration, version: u64) -> Row {
+    let Action::Write(transaction) = state.next_action(now) else { panic!("a write is due") };
+    state.handle(Event::Written(Outcome::Done(version)), now);
+    let write = &transaction.writes[0];
+    Row { key: write.key.clone(), version, value: write.value.clone().expect("a value") }
+}
