Confirm keys only by the newest catalog

Seen by callers: a node that started after the store came back from a copy answered a key with 200 that had been revoked before.

Cause: a read of the store confirms the keys that the node has. A restored store shows an older catalog until it is written again, so the read confirmed revoked keys.

Change: a read confirms keys only if the node has the newest catalog that a live peer has. A node that starts waits up to 0.7 s for a peer that has run for longer.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -122,7 +122,7 @@
         |age_ms: u32| now.saturating_sub(delay + Duration::from_millis(u64::from(age_ms)));
     let declarations = Some(time_of(reading.declarations_age_ms));
     if reading.declared == known.version.get() && node.declarations_read_at.get().is_some() {
-        node.declarations_read_at.set(node.declarations_read_at.get().max(declarations));
+        confirm_declarations(node, declarations, now);
     }
     // What the peer read in another era says nothing about this node's list.
     if reading.endpoints_era != node.notices.borrow().era() {
@@ -136,6 +136,17 @@
     }
 }
 
+/// Records the time as of which the declarations are known, unless a live peer has a newer catalog: a store
+/// that was restored from a copy shows an older one until it is written again. Returns whether they are known.
+fn confirm_declarations(node: &Node, at: Option<Duration>, now: Duration) -> bool {
+    let version = node.catalog().map_or(0, |catalog| catalog.version);
+    let is_newest = node.has_heard_catalogs(now) && version >= node.told_catalog(now);
+    if is_newest {
+        node.declarations_read_at.set(node.declarations_read_at.get().max(at));
+    }
+    is_newest
+}
+
 /// Records the era of a read. What the store has lost is written again within some seconds: until then, endpoints
 /// that are missing are doubted only, and this node writes its own rows again.
 fn observe_era(node: &Node, era: u64) {
@@ -157,6 +168,7 @@
     let mut after = None;
     let mut is_connected = true;
     let mut retry_delay = MIN_RETRY_DELAY;
+    let mut is_confirmed = true;
     let max_wait = MAX_DECLARATION_WAIT.min(node.settings.bounds.max_key_age() / WAITS_PER_KEY_AGE);
     loop {
         let sent = clock::now();
@@ -170,7 +182,8 @@
         if read_at.is_some_and(|read_at| sent.saturating_sub(read_at) > MAX_HISTORY_AGE) {
             after = None;
         }
-        let poll = LongPoll { after, wait: if is_reader { max_wait } else { Duration::ZERO } };
+        let wait = if is_reader && is_confirmed { max_wait } else { Duration::ZERO };
+        let poll = LongPoll { after, wait };
         match (node.platform.declarations)(poll).await {
             Ok(batch) => {
                 log_connection(&mut is_connected, true, "declarations", "");
@@ -183,7 +196,10 @@
                     apply_declaration(&node, declaration);
                 }
                 node.declared.record(batch.newest_change, batch.version);
-                node.declarations_read_at.set(node.declarations_read_at.get().max(Some(sent)));
+                is_confirmed = confirm_declarations(&node, Some(sent), clock::now());
+                if !is_confirmed {
+                    tokio::time::sleep(CHECK_INTERVAL).await;
+                }
             }
             Err(failure) => {
                 log_connection(&mut is_connected, false, "declarations", &failure.to_string());
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -397,6 +397,7 @@
     };
     let receipt = node.peers.borrow_mut().record_heartbeat(&beat, from, node.unix_ms(), now);
     let Some(receipt) = receipt else { return };
+    node.record_told_catalog(heartbeat.catalog_version, now);
     let source = (&heartbeat.node, heartbeat.incarnation);
     let mut quotas = node.quotas.borrow_mut();
     let uptime = Duration::from_millis(heartbeat.uptime_ms);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -31,6 +31,11 @@
 /// their quotas the tenants have used.
 const QUOTA_RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Age from which a peer's word on its catalog counts no more: the peer may be gone.
+const MAX_TOLD_AGE: Duration = Duration::from_secs(2);
+/// Time after its start for which a node waits for the word of a peer that has run for longer.
+const CATALOG_WAIT: Duration = Duration::from_millis(700);
+
 /// Requests that wait for an endpoint of one service, each with the notification that wakes it.
 #[derive(Debug, Default)]
 pub struct Waiters {
@@ -94,6 +99,8 @@
     /// or by a peer that found no newer version.
     pub declarations_read_at: Cell<Option<Duration>>,
     pub declared: follow::Declared,
+    /// Newest version of the catalog that a peer has, and when a heartbeat last said so.
+    told_catalog: Cell<(u64, Duration)>,
     /// Newest era of the store that this node has seen; `None` before the first read.
     pub store_era: Cell<Option<u64>>,
     pub roster: RefCell<Roster>,
@@ -156,6 +163,7 @@
             catalog: RefCell::default(),
             declarations_read_at: Cell::default(),
             declared: follow::Declared::default(),
+            told_catalog: Cell::default(),
             store_era: Cell::default(),
             roster: RefCell::default(),
             notices: RefCell::default(),
@@ -195,6 +203,28 @@
         self.catalog.borrow().clone()
     }
 
+    /// Records the version of a peer's catalog.
+    pub fn record_told_catalog(&self, version: u64, now: Duration) {
+        if version >= self.told_catalog(now) {
+            self.told_catalog.set((version, now));
+        }
+    }
+
+    /// Returns the newest version of the catalog that a live peer has; 0 if none is known.
+    pub fn told_catalog(&self, now: Duration) -> u64 {
+        let (version, told_at) = self.told_catalog.get();
+        let is_recent = now.saturating_sub(told_at) < MAX_TOLD_AGE;
+        if is_recent { version } else { 0 }
+    }
+
+    /// Returns whether this node has heard which catalog the others have, so that it doesn't start with an
+    /// older one from a restored store.
+    pub fn has_heard_catalogs(&self, now: Duration) -> bool {
+        self.settings.first_start
+            || now.saturating_sub(self.started_at) >= CATALOG_WAIT
+            || self.peers.borrow().has_older_peer(now)
+    }
+
     /// Returns the age of the known API keys; `None` before the first read of the declarations.
     pub fn key_age(&self, now: Duration) -> Option<Duration> {
         self.declarations_read_at.get().map(|read_at| now.saturating_sub(read_at))
