Keep leaving endpoints out of a restored list

Cause: the copy of the store lists endpoints as ready that have announced since that they leave, or that have left.

Change: an endpoint that is leaving stays so for its life. One that left within the last minute has to report again before it is listed.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -301,6 +301,7 @@
                 let is_complete = batch.is_complete;
                 let mut changes = node.notices.borrow_mut().apply_batch(batch);
                 if is_complete {
+                    node.roster.borrow().drop_gone(&mut changes);
                     add_removals(&node, &mut changes);
                 }
                 // What a node reads at its start is known to its peers.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -23,6 +23,9 @@
 /// Time without failures after which the next pause is the shortest again, and time for which an
 /// endpoint that has left is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
+/// Time for which the start of an endpoint that has left is remembered. A store that is restored from a copy
+/// lists the endpoint again.
+const REMEMBER_GONE: Duration = Duration::from_secs(60);
 /// Time after a store outage within which live endpoints register again; until then an endpoint whose
 /// entry has disappeared is still used.
 const REREGISTER_TIME: Duration = Duration::from_secs(2);
@@ -137,6 +140,8 @@
     entries: HashMap<Arc<str>, Entry>,
     /// Endpoints whose entries were removed, with the time at which they will be gone.
     departed: HashMap<Arc<str>, Duration>,
+    /// Starts of endpoints that have left, with the time at which their entries were removed.
+    gone: HashMap<(Arc<str>, u64), Duration>,
     last_outage: Option<Duration>,
 }
 
@@ -170,8 +175,17 @@
         now: Duration,
     ) -> Option<Arc<str>> {
         match change {
-            Change::Updated(endpoint) => {
+            Change::Updated(mut endpoint) => {
                 let id = endpoint.id.clone();
+                // A leaving endpoint never stays, whatever an older row says.
+                if let Some(known) = self.entries.get(&id).map(|entry| &entry.endpoint)
+                    && known.started_ms == endpoint.started_ms
+                    && known.draining
+                    && !endpoint.draining
+                {
+                    (endpoint.draining, endpoint.leaves_in) = (true, known.leaves_in);
+                }
+                self.gone.remove(&(id.clone(), endpoint.started_ms));
                 let leaving = endpoint.draining.then(|| id.clone());
                 let entry = self.entries.entry(id).or_insert_with(|| Entry {
                     endpoint: endpoint.clone(),
@@ -201,12 +215,25 @@
                 } else if let Some(entry) = self.entries.remove(&id) {
                     let leaves_at = entry.leaves_at.unwrap_or(now + drain);
                     self.departed.insert(id.clone(), leaves_at);
+                    self.gone.insert((id.clone(), entry.endpoint.started_ms), now);
                 }
                 Some(id)
             }
         }
     }
 
+    /// Removes from a complete list the endpoints that had left before the store was restored from a copy.
+    /// One that is alive after all reports again.
+    pub fn drop_gone(&self, changes: &mut Vec<Change>) {
+        changes.retain(|change| match change {
+            Change::Updated(endpoint) => {
+                let start = (endpoint.id.clone(), endpoint.started_ms);
+                self.entries.contains_key(&endpoint.id) || !self.gone.contains_key(&start)
+            }
+            Change::Removed(_) => true,
+        });
+    }
+
     /// Applies a complete list: endpoints that it doesn't hold are gone.
     pub fn replace(&mut self, changes: Vec<Change>, drain: Duration, now: Duration) {
         let mut listed: Vec<Arc<str>> = Vec::new();
@@ -237,6 +264,7 @@
     /// Drops entries that did not come back after a store outage, and departed endpoints that are long
     /// gone.
     pub fn expire(&mut self, now: Duration) {
+        self.gone.retain(|_, removed_at| now.saturating_sub(*removed_at) < REMEMBER_GONE);
         self.departed.retain(|_, leaves_at| now < *leaves_at + FORGET_AFTER);
         self.entries.retain(|_, entry| entry.missing_until.is_none_or(|until| now < until));
     }
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -80,6 +80,36 @@
     assert!(notices.apply_notice(gone(Version::new(1, 990)), at(2)).is_none());
 }
 
+/// Guards against a leaving endpoint that a copy of the store shows as ready, and one that had left.
+#[test]
+fn leaving_endpoints_do_not_return() {
+    let mut roster = Roster::default();
+    roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(1));
+    roster.apply(Change::Updated(endpoint(true, 1)), DRAIN, at(2));
+    let mut copy = vec![Change::Updated(endpoint(false, 1))];
+    roster.drop_gone(&mut copy);
+    roster.replace(copy.clone(), DRAIN, at(3));
+    assert!(!roster.get("e").expect("still listed").is_usable(at(3)));
+    roster.apply(Change::Removed("e".into()), DRAIN, at(4));
+    roster.drop_gone(&mut copy);
+    assert!(copy.is_empty(), "it had left before the restore");
+    // A report after the restore shows that it is alive, and a new start is another endpoint.
+    roster.apply(Change::Updated(endpoint(false, 2)), DRAIN, at(5));
+    assert!(roster.get("e").expect("listed").is_usable(at(5)));
+}
+
+/// Guards against a live endpoint that is dropped because the copy of the store is older than its entry.
+#[test]
+fn missing_endpoint_is_kept_until_it_reports_again() {
+    let mut roster = Roster::default();
+    roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(1));
+    roster.record_store_outage(at(10));
+    roster.replace(Vec::new(), DRAIN, at(10));
+    assert!(roster.get("e").expect("kept").is_usable(at(11)));
+    roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(11));
+    assert!(roster.get("e").expect("back").is_listed());
+}
+
 fn start(shifts: &mut Shifts, version: &str, revision: Version, now: Duration) {
     shifts.start("s".into(), version.into(), TIME_LIMIT, revision, now);
 }
