Know a roll-out again after a restore of the store

Cause: a roll-out was known by the version of its row. After a restore the order is read from the copy, or written again with another version, so an ended roll-out would begin anew, or an earlier one from the copy.

Change: after a change of era an order with the same content is the known roll-out, for ten seconds each time it is found again, and an earlier one is ignored.

Result: ended_rollout_does_not_begin_anew.

--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -42,6 +42,10 @@
 /// its endpoints.
 const FULL_START: f64 = 0.86;
 const COMPLETION_START: f64 = 0.95;
+/// Time after the store's restore in which the operators' declarations are written again.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
+/// Most earlier roll-outs of a service that are remembered, to know them in a restored store.
+const MAX_EARLIER: usize = 8;
 /// Good responses that a version needs before it can get all requests.
 const MIN_GOOD_RESPONSES: u32 = 8;
 
@@ -123,6 +127,10 @@
     time_limit: Duration,
     revision: Version,
     read_at: Duration,
+    /// Time at which the declaration was last found again after a restore of the store.
+    found_again_at: Option<Duration>,
+    /// Earlier roll-outs of the service, by the number of their revision.
+    earlier: Vec<(u64, Arc<str>, Duration)>,
     /// Time for which the roll-out had already run when this node read its declaration.
     prior_elapsed: Duration,
     /// Samples of this node.
@@ -174,6 +182,30 @@
         }
     }
 
+    /// Returns whether a declaration read after a restore of the store is this roll-out's, written again, or
+    /// an earlier one's from the copy. Neither starts a roll-out.
+    fn find_again(
+        &mut self,
+        version: &Arc<str>,
+        time_limit: Duration,
+        revision: Version,
+        now: Duration,
+    ) -> bool {
+        let is_new_era = revision.era > self.revision.era;
+        let is_rewriting =
+            self.found_again_at.is_some_and(|at| now.saturating_sub(at) < REWRITE_TIME);
+        if !is_new_era && !is_rewriting {
+            return false;
+        }
+        let is_earlier = self.earlier.contains(&(revision.number, version.clone(), time_limit));
+        let is_this = self.version == *version && self.time_limit == time_limit;
+        if is_this {
+            self.revision = revision;
+            self.found_again_at = Some(now);
+        }
+        is_this || is_earlier
+    }
+
     fn own_evidence(&self) -> (Evidence, u32) {
         (self.own.clone(), u32::from(!self.own.is_empty()))
     }
@@ -367,14 +399,22 @@
         revision: Version,
         now: Duration,
     ) {
-        if self.shifts.get(&service).is_some_and(|shift| shift.revision >= revision) {
-            return;
+        let mut earlier = Vec::new();
+        if let Some(shift) = self.shifts.get_mut(&service) {
+            if shift.revision >= revision || shift.find_again(&version, time_limit, revision, now) {
+                return;
+            }
+            earlier = std::mem::take(&mut shift.earlier);
+            earlier.push((shift.revision.number, shift.version.clone(), shift.time_limit));
+            earlier.drain(..earlier.len().saturating_sub(MAX_EARLIER));
         }
         let mut shift = Shift {
             version,
             time_limit,
             revision,
             read_at: now,
+            found_again_at: None,
+            earlier,
             prior_elapsed: Duration::ZERO,
             own: Evidence::default(),
             peers: HashMap::new(),
@@ -384,8 +424,9 @@
             is_share_set: false,
         };
         if let Some((report, restored_at)) = self.restored.remove(&service)
-            && report.revision == revision
+            && report.revision.number == revision.number
         {
+            // A snapshot and a declaration from one copy of the store have the same number.
             shift.adopt_elapsed(&report, restored_at);
             shift.prior_elapsed += now.saturating_sub(restored_at);
             shift.apply_reported_phase(&report);
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -119,6 +119,30 @@
     (version.clone(), phase)
 }
 
+/// Guards against a roll-out that begins anew because its order is read from a copy or is written again.
+#[test]
+fn ended_rollout_does_not_begin_anew() {
+    let mut shifts = Shifts::default();
+    start(&mut shifts, "v2", Version::new(1, 10), at(1));
+    shifts.apply_phase("s", Version::new(1, 10), Phase::Completed);
+    start(&mut shifts, "v3", Version::new(1, 50), at(20));
+    shifts.apply_phase("s", Version::new(1, 50), Phase::Reverted);
+    // The copy still has the earlier order, and the later one is written again with a number given out anew.
+    start(&mut shifts, "v2", Version::new(2, 10), at(30));
+    assert_eq!(phase(&shifts), ("v3".into(), Phase::Reverted));
+    start(&mut shifts, "v3", Version::new(2, 12), at(32));
+    start(&mut shifts, "v3", Version::new(2, 15), at(33));
+    assert_eq!(phase(&shifts), ("v3".into(), Phase::Reverted));
+    // A second restore.
+    start(&mut shifts, "v3", Version::new(3, 11), at(36));
+    assert_eq!(phase(&shifts), ("v3".into(), Phase::Reverted));
+    // An order that the operators give after the recovery.
+    start(&mut shifts, "v3", Version::new(3, 90), at(60));
+    assert_eq!(phase(&shifts), ("v3".into(), Phase::InProgress));
+    start(&mut shifts, "v4", Version::new(4, 20), at(61));
+    assert_eq!(phase(&shifts), ("v4".into(), Phase::InProgress));
+}
+
 fn acquire(state: &mut State, now: Duration, version: u64) -> Row {
     let Action::Write(transaction) = state.next_action(now) else { panic!("a write is due") };
     state.handle(Event::Written(Outcome::Done(version)), now);
