Never let the fence of the duties fall

Cause: the next fencing number was that of the row and one. A restored store has lost the newer rows.

Change: heartbeats carry the highest fence that any node has known. A new holder takes a higher one, at least the corrected time in milliseconds, reads the row again if it may have been suspended, and makes no call for a term if the row is new to it or missing. A holder that hears of a higher fence stops at once.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -57,7 +57,10 @@
     fn valid_grant(&self) -> Option<Grant> {
         let now = clock::now();
         let grant = self.lease.borrow().grant()?;
-        let is_valid = grant.is_valid_for(now, CALL_MARGIN) && now >= grant.predecessor_end;
+        // A higher number shows a later holder, also when the store has lost its row.
+        let is_newest = grant.fence >= self.node.known_fence.get();
+        let is_valid =
+            is_newest && grant.is_valid_for(now, CALL_MARGIN) && now >= grant.predecessor_end;
         is_valid.then_some(grant)
     }
 
@@ -89,6 +92,8 @@
     let node = context.node.clone();
     let mut fence = None;
     loop {
+        context.lease.borrow_mut().raise_fence(node.known_fence.get());
+        context.lease.borrow_mut().set_least_fence(node.unix_ms());
         let action = context.lease.borrow_mut().next_action(clock::now());
         // Peers read the lease row only while no node reports the lease, so an expired lease must
         // no longer be reported.
@@ -118,6 +123,8 @@
         let Some(event) = event else { return };
         context.lease.borrow_mut().handle(event, clock::now());
         let held = context.lease.borrow().grant().map(|grant| grant.fence);
+        let seen = context.lease.borrow().last_seen().map_or(0, |lease| lease.fence);
+        node.known_fence.set(node.known_fence.get().max(seen));
         node.holds_duties.set(held.is_some());
         if held != fence {
             log::info!("duties: event=lease held={held:?} before={fence:?}");
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -61,6 +61,7 @@
     uptime_ms: u64,
     /// Set while the node holds the duties lease.
     holds_duties: bool,
+    duties: Duties,
     /// Whether the node's last call to the store succeeded.
     reaches_store: bool,
     /// How old the node's own reads of the store are.
@@ -90,6 +91,15 @@
     limits: Vec<rate_limit::Report>,
 }
 
+/// What outlives the holder of the duties, and the store's memory of it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct Duties {
+    /// Highest fencing number that any node is known to have had.
+    fence: u64,
+    /// Newest usage window whose counts any node is known to have recorded.
+    recorded_window: u64,
+}
+
 /// Name, failure domain and address of a node.
 type Introduction = (Arc<str>, Arc<str>, SocketAddr);
 
@@ -107,6 +117,7 @@
     nodes: u32,
     live: u32,
     holds_duties: bool,
+    duties: Duties,
     /// Quota units admitted for each tenant in the quota window.
     window_sums: Vec<(Arc<str>, u64)>,
     /// Number of requests of each tenant that started to run, by usage window.
@@ -214,6 +225,7 @@
         unix_ms: node.unix_ms(),
         uptime_ms: now.saturating_sub(node.started_at).as_millis() as u64,
         holds_duties: node.holds_duties.get(),
+        duties: known_duties(node),
         reaches_store,
         reading,
         admitted,
@@ -230,6 +242,19 @@
     }
 }
 
+fn known_duties(node: &Node) -> Duties {
+    Duties { fence: node.known_fence.get(), recorded_window: node.recorded_window.get() }
+}
+
+fn merge_duties(node: &Node, duties: Duties) {
+    node.known_fence.set(node.known_fence.get().max(duties.fence));
+    // A window of the future can't have been recorded.
+    if duties.recorded_window <= node.report_window() {
+        let newest = node.recorded_window.get().max(duties.recorded_window);
+        node.recorded_window.set(newest);
+    }
+}
+
 /// Sends a heartbeat and applies what has changed with the state of the peers: their liveness, the quota
 /// share, the loads of the endpoints and the clock correction.
 fn send_heartbeat(node: &Rc<Node>, socket: &UdpSocket) {
@@ -313,6 +338,7 @@
         nodes,
         live,
         holds_duties: node.holds_duties.get() || peers.has_live_direct_holder(now),
+        duties: known_duties(node),
         window_sums: node.quotas.borrow_mut().domain_sums(now),
         usage: node.usage.borrow().domain_sums(usage_windows),
         loads: loads.into_iter().collect(),
@@ -398,6 +424,7 @@
     let receipt = node.peers.borrow_mut().record_heartbeat(&beat, from, node.unix_ms(), now);
     let Some(receipt) = receipt else { return };
     node.record_told_catalog(heartbeat.catalog_version, now);
+    merge_duties(node, heartbeat.duties);
     let source = (&heartbeat.node, heartbeat.incarnation);
     let mut quotas = node.quotas.borrow_mut();
     let uptime = Duration::from_millis(heartbeat.uptime_ms);
@@ -459,6 +486,7 @@
     if !node.peers.borrow_mut().record_digest(&summary, now) {
         return false;
     }
+    merge_duties(node, digest.duties);
     let outage = digest.outage(now);
     let domain = &digest.domain;
     let mut quotas = node.quotas.borrow_mut();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -103,6 +103,10 @@
     told_catalog: Cell<(u64, Duration)>,
     /// Newest era of the store that this node has seen; `None` before the first read.
     pub store_era: Cell<Option<u64>>,
+    /// Highest fencing number of the duties lease that any node is known to have had.
+    pub known_fence: Cell<u64>,
+    /// Newest usage window whose counts any node is known to have recorded.
+    pub recorded_window: Cell<u64>,
     pub roster: RefCell<Roster>,
     pub notices: RefCell<Notices>,
     /// Time as of which the endpoints are known: when the last successful read was sent, by this node or
@@ -165,6 +169,8 @@
             declared: follow::Declared::default(),
             told_catalog: Cell::default(),
             store_era: Cell::default(),
+            known_fence: Cell::default(),
+            recorded_window: Cell::default(),
             roster: RefCell::default(),
             notices: RefCell::default(),
             endpoints_read_at: Cell::default(),
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -91,6 +91,12 @@
     next_action_at: Duration,
     released: bool,
     must_read: bool,
+    /// Highest fencing number known from elsewhere.
+    known_fence: u64,
+    /// Least fencing number of a new holder.
+    least_fence: u64,
+    /// Time of the last answer that showed the row.
+    read_at: Duration,
 }
 
 impl State {
@@ -112,9 +118,31 @@
             next_action_at: Duration::ZERO,
             released: false,
             must_read: true,
+            known_fence: 0,
+            least_fence: 0,
+            read_at: Duration::ZERO,
         }
     }
 
+    /// Notes a fencing number that some process has had. The platform may have lost the row that showed it, so
+    /// later holders take higher ones, and a grant with a lower one is over.
+    pub fn raise_fence(&mut self, fence: u64) {
+        self.known_fence = self.known_fence.max(fence);
+        if self.grant.is_some_and(|grant| grant.fence < self.known_fence) {
+            self.grant = None;
+        }
+    }
+
+    fn next_fence(&self, fence: u64) -> u64 {
+        fence.max(self.known_fence).saturating_add(1).max(self.least_fence)
+    }
+
+    /// Sets the least fencing number of a new holder. A number from a clock rises even if all who know the last
+    /// one, and the row that holds it, are lost.
+    pub fn set_least_fence(&mut self, fence: u64) {
+        self.least_fence = fence;
+    }
+
     /// Returns the grant last obtained. It may have expired: `Grant::is_valid_for` has to be
     /// checked before each use.
     pub fn grant(&self) -> Option<Grant> {
@@ -166,22 +194,32 @@
             _ if self.released => Action::Wait(now + self.term),
             Some(lease) if self.is_own(lease) => match self.grant {
                 Some(held) => self.write(now, seen.row_version, held.fence, held.predecessor_end),
+                // The process may have been suspended, and the row may be another one since.
+                None if now.saturating_sub(self.read_at) > self.retry_delay() => Action::Read,
                 // An expired own lease is acquired again with a new fencing number, as if it had
                 // been another holder's.
-                None => {
-                    self.write(now, seen.row_version, lease.fence + 1, self.expiry(lease, &seen))
-                }
+                None => self.write(
+                    now,
+                    seen.row_version,
+                    self.next_fence(lease.fence),
+                    self.expiry(lease, &seen),
+                ),
             },
             Some(lease) => {
                 let expiry = self.expiry(lease, &seen);
                 if lease.holder.is_empty() || now > expiry {
-                    return self.write(now, seen.row_version, lease.fence + 1, expiry);
+                    return self.write(now, seen.row_version, self.next_fence(lease.fence), expiry);
                 }
                 self.poll_later(now, expiry)
             }
             // A row that does not parse cannot be taken over, since its fencing number is unknown.
             None if seen.row_version.is_some() => self.poll_later(now, now + self.term),
-            None => self.write(now, None, 1, Duration::ZERO),
+            // The platform may have lost the row of a lease that is still held.
+            None if self.known_fence > 0 => {
+                let end = seen.first_seen + self.term + self.term / DRIFT_DIVISOR;
+                self.write(now, None, self.next_fence(0), end)
+            }
+            None => self.write(now, None, self.next_fence(0), Duration::ZERO),
         }
     }
 
@@ -225,6 +263,7 @@
 
     fn handle_row(&mut self, row: Option<Row>, now: Duration) {
         self.must_read = false;
+        self.read_at = now;
         let lease: Option<Lease> = row.as_ref().and_then(|row| Lease::from_value(&row.value));
         let row_version = row.as_ref().map(|row| row.version);
         if let (Some(pending), Some(lease), Some(version)) =
@@ -255,6 +294,7 @@
 
     fn handle_own_write(&mut self, version: u64, pending: Write, now: Duration) {
         self.must_read = false;
+        self.read_at = now;
         let is_own = self.is_own(&pending.lease);
         let until = pending.sent_at + self.term;
         self.grant = (is_own && !self.released && now < until).then_some(Grant {
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -149,3 +149,42 @@
     let write = &transaction.writes[0];
     Row { key: write.key.clone(), version, value: write.value.clone().expect("a value") }
 }
+
+/// Guards against a fence that falls, or serves two holders, because the store has lost the newer row.
+#[test]
+fn fence_outlives_its_row() {
+    let new = |process: &str| State::new("lease".to_owned(), process.into(), TERM);
+    let (mut first, mut second) = (new("first"), new("second"));
+    first.handle(Event::Read(Ok(None)), at(1));
+    let copy = acquire(&mut first, at(1), Version::new(1, 10).packed());
+    // The first holder is suspended and the second one takes over.
+    second.handle(Event::Read(Ok(Some(copy.clone()))), at(2));
+    let now = at(6);
+    acquire(&mut second, now, Version::new(1, 30).packed());
+    let newer = second.grant().expect("the lease").fence;
+    // The store is restored; the first process finds its own row again.
+    let restored = Row { version: Version::new(2, 10).packed(), ..copy };
+    let now = at(7);
+    assert_eq!(first.next_action(now), Action::Read, "the row may be another one");
+    first.handle(Event::Read(Ok(Some(restored.clone()))), now);
+    first.raise_fence(newer);
+    acquire(&mut first, now, Version::new(2, 11).packed());
+    let grant = first.grant().expect("the lease");
+    assert!(grant.fence > newer);
+    assert!(grant.predecessor_end >= now + TERM, "the second holder's grant may still be valid");
+    second.raise_fence(grant.fence);
+    assert_eq!(second.grant(), None);
+    // A row that is lost altogether.
+    let mut third = new("third");
+    third.raise_fence(grant.fence);
+    third.handle(Event::Read(Ok(None)), at(8));
+    acquire(&mut third, at(8), Version::new(3, 1).packed());
+    let last = third.grant().expect("the lease");
+    assert!(last.fence > grant.fence && last.predecessor_end >= at(8) + TERM);
+    // Nobody is left who knows a fence.
+    let mut fourth = new("fourth");
+    fourth.set_least_fence(1_000_000);
+    fourth.handle(Event::Read(Ok(None)), at(9));
+    acquire(&mut fourth, at(9), Version::new(4, 1).packed());
+    assert!(fourth.grant().expect("the lease").fence >= 1_000_000);
+}
