Report no usage window with other counts after a restore

Cause: the counts of a window are recorded in the store before they are reported, so that another holder repeats them. A restored store has lost the newest records, and another holder would record and report others.

The holder writes lost records again; a window whose record is lost with its holder is not reported, after one more read.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -204,17 +204,22 @@
 #[derive(Debug, Default)]
 struct UsageReporter {
     fence: Option<u64>,
+    /// Era of the store in which the records were read.
+    era: Option<u64>,
     stored: BTreeMap<u64, Counts>,
     sent: BTreeSet<u64>,
+    /// Windows that another node has recorded and the store didn't show.
+    doubted: BTreeSet<u64>,
 }
 
 impl UsageReporter {
     async fn step(&mut self, context: &Rc<DutyContext>) {
         let Some(grant) = context.valid_grant() else { return };
-        if self.fence != Some(grant.fence) && !self.load(context, grant.fence).await {
+        let node = &context.node;
+        let is_loaded = self.fence == Some(grant.fence) && self.era == node.store_era.get();
+        if !is_loaded && !self.load(context, grant.fence).await {
             return;
         }
-        let node = &context.node;
         let length = node.settings.bounds.report_window_ms();
         let now = node.unix_ms();
         let newest = now.saturating_sub(REPORT_DELAY_MS) / length;
@@ -223,8 +228,21 @@
             if self.sent.contains(&window) {
                 continue;
             }
-            if !self.stored.contains_key(&window) && !self.store(context, window).await {
-                return;
+            if !self.stored.contains_key(&window) {
+                // The record is lost, and the report may have been sent with other counts.
+                if window <= node.recorded_window.get() {
+                    if self.doubted.insert(window) {
+                        // A record that was written late is found by one more read.
+                        self.fence = None;
+                        return;
+                    }
+                    log::warn!("duties: event=usage_lost window={window}");
+                    self.sent.insert(window);
+                    continue;
+                }
+                if !self.store(context, window).await {
+                    return;
+                }
             }
             self.send(context, window).await;
         }
@@ -234,16 +252,26 @@
     async fn load(&mut self, context: &Rc<DutyContext>, fence: u64) -> bool {
         match (context.node.platform.rows)(USAGE_KEY_PREFIX.to_owned()).await {
             Ok(rows) => {
-                self.stored.clear();
+                let era = context.node.store_era.get();
+                let mut lost = std::mem::take(&mut self.stored);
                 for row in rows.rows {
                     let window =
                         row.key.strip_prefix(USAGE_KEY_PREFIX).and_then(|it| it.parse().ok());
                     let counts = read_counts(&row.value);
                     if let (Some(window), Some(counts)) = (window, counts) {
+                        // What this node has recorded itself may have been sent.
+                        let counts = lost.remove(&window).unwrap_or(counts);
                         self.stored.insert(window, counts);
                     }
                 }
-                self.fence = Some(fence);
+                if !self.store_again(context, lost).await {
+                    return false;
+                }
+                if let Some((newest, _)) = self.stored.last_key_value() {
+                    let node = &context.node;
+                    node.recorded_window.set(node.recorded_window.get().max(*newest));
+                }
+                (self.fence, self.era) = (Some(fence), era);
                 true
             }
             Err(failure) => {
@@ -253,14 +281,35 @@
         }
     }
 
+    /// Records counts again that a restored store has lost; returns whether it did.
+    async fn store_again(
+        &mut self,
+        context: &Rc<DutyContext>,
+        mut lost: BTreeMap<u64, Counts>,
+    ) -> bool {
+        let window = context.node.report_window();
+        lost.retain(|lost, _| *lost + KEPT_WINDOWS > window);
+        if lost.is_empty() {
+            return true;
+        }
+        let mut transaction = Transaction::default();
+        for (window, counts) in &lost {
+            transaction.put(&format!("{USAGE_KEY_PREFIX}{window}"), None, counts_value(counts));
+        }
+        let outcome = (context.node.platform.transact)(transaction).await;
+        log::info!("duties: event=usage_recorded_again windows={} result={outcome:?}", lost.len());
+        let is_done = matches!(outcome, Ok(Outcome::Done(_)));
+        // They stay known either way: the next step tries again.
+        self.stored.append(&mut lost);
+        is_done
+    }
+
     /// Stores the counts of a window unless another holder has stored them; returns whether it did.
     async fn store(&mut self, context: &Rc<DutyContext>, window: u64) -> bool {
         let counts = context.node.usage.borrow().total(window);
         let mut transaction = Transaction::default();
-        let value = serde_json::Value::Object(
-            counts.iter().map(|(name, count)| (name.to_string(), (*count).into())).collect(),
-        );
-        transaction.put(&format!("{USAGE_KEY_PREFIX}{window}"), None, value);
+        let key = format!("{USAGE_KEY_PREFIX}{window}");
+        transaction.put(&key, None, counts_value(&counts));
         let old = window.saturating_sub(KEPT_WINDOWS);
         if self.stored.remove(&old).is_some() {
             let key = format!("{USAGE_KEY_PREFIX}{old}");
@@ -269,6 +318,8 @@
         match (context.node.platform.transact)(transaction).await {
             Ok(Outcome::Done(_)) => {
                 self.stored.insert(window, counts);
+                let node = &context.node;
+                node.recorded_window.set(node.recorded_window.get().max(window));
                 true
             }
             // The row may exist now: the next step loads it, since its counts must be sent.
@@ -292,8 +343,10 @@
         match (context.node.platform.usage)(usage).await {
             Ok(_) => {
                 self.sent.insert(window);
-                while self.sent.len() > KEPT_WINDOWS as usize {
-                    self.sent.pop_first();
+                for windows in [&mut self.sent, &mut self.doubted] {
+                    while windows.len() > KEPT_WINDOWS as usize {
+                        windows.pop_first();
+                    }
                 }
             }
             Err(failure) => {
@@ -303,6 +356,11 @@
     }
 }
 
+fn counts_value(counts: &Counts) -> serde_json::Value {
+    let entries = counts.iter().map(|(name, count)| (name.to_string(), (*count).into()));
+    serde_json::Value::Object(entries.collect())
+}
+
 fn read_counts(value: &serde_json::Value) -> Option<Counts> {
     let counts = value.as_object()?;
     counts.iter().map(|(name, count)| Some((name.as_str().into(), count.as_u64()?))).collect()
