Bound the fence that a peer's datagram can raise

Cause: a broken datagram could raise the highest known fence to any number, and so stop all holders or use up the numbers.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -39,6 +39,9 @@
 const RESTORED_TIME: Duration = Duration::from_secs(20);
 /// Largest datagram that a node receives.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
+/// Largest lead of a fencing number, which is at least the corrected time of its holder, over this node's
+/// time, in milliseconds.
+const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
 const HEARTBEAT_FORMAT: u8 = 13;
 const QUOTA_FORMAT: u8 = 4;
@@ -247,7 +250,10 @@
 }
 
 fn merge_duties(node: &Node, duties: Duties) {
-    node.known_fence.set(node.known_fence.get().max(duties.fence));
+    // A broken datagram must not use up the fencing numbers.
+    if duties.fence <= node.unix_ms() + MAX_FENCE_LEAD_MS {
+        node.known_fence.set(node.known_fence.get().max(duties.fence));
+    }
     // A window of the future can't have been recorded.
     if duties.recorded_window <= node.report_window() {
         let newest = node.recorded_window.get().max(duties.recorded_window);
--- a/tests/endpoint_limits.rs
+++ b/tests/endpoint_limits.rs
@@ -152,14 +152,12 @@
     let large =
         [((117, 6), 1.0), ((117, 6), 7.0), ((330, 8), 0.3), ((330, 8), 7.0), ((117, 6), 60.0)];
     for ((count, domains), limit) in small.chain(large) {
-        {
-            let mut nodes = Nodes::new(count, domains);
-            nodes.play(RateLimit::PerSecond(limit), &all(count), ms(0), ms(12_000));
-            let most = nodes.most(ms(1_000));
-            assert!(most <= allowed(limit), "{count} nodes, limit {limit}: {most} in 4 s");
-            let used = nodes.count(ms(4_000), ms(12_000)) as f64 / 8.0;
-            assert!(used >= limit * 0.95, "{count} nodes, limit {limit}: used {used}");
-        }
+        let mut nodes = Nodes::new(count, domains);
+        nodes.play(RateLimit::PerSecond(limit), &all(count), ms(0), ms(12_000));
+        let most = nodes.most(ms(1_000));
+        assert!(most <= allowed(limit), "{count} nodes, limit {limit}: {most} in 4 s");
+        let used = nodes.count(ms(4_000), ms(12_000)) as f64 / 8.0;
+        assert!(used >= limit * 0.95, "{count} nodes, limit {limit}: used {used}");
     }
 }
 
