End the wait for an older peer when there can be none

Cause: a node that starts confirms keys only when it has heard a peer that has run for longer, or after 0.7 s, so that a restored store does not open revoked keys. After a loss of all nodes there is no such peer, and keyed requests were refused for 0.7 s. Excluded: the wait itself is needed; restore_undoes_nothing_in_force covers it. Change: the wait ends when all listed direct peers have been heard, or 3.5 heartbeats after the list was read; a live peer answers the first heartbeat with its next one. 0.7 s stays as the bound while the list can't be read.

--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -92,6 +92,7 @@
             node.peers.borrow_mut().add(name.into(), domain, listed_address, now);
         }
     }
+    node.listed_at.set(node.listed_at.get().or(Some(now)));
     if *is_registered && is_own_fresh {
         return true;
     }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -33,7 +33,7 @@
 
 /// Age from which a peer's word on its catalog counts no more: the peer may be gone.
 const MAX_TOLD_AGE: Duration = Duration::from_secs(2);
-/// Time after its start for which a node waits for the word of a peer that has run for longer.
+/// Longest time after its start for which a node waits for the word of a peer that has run for longer.
 const CATALOG_WAIT: Duration = Duration::from_millis(700);
 
 /// Requests that wait for an endpoint of one service, each with the notification that wakes it.
@@ -99,6 +99,8 @@
     /// or by a peer that found no newer version.
     pub declarations_read_at: Cell<Option<Duration>>,
     pub declared: follow::Declared,
+    /// Time at which the list of the nodes was first read.
+    pub listed_at: Cell<Option<Duration>>,
     /// Newest version of the catalog that a peer has, and when a heartbeat last said so.
     told_catalog: Cell<(u64, Duration)>,
     /// Newest era of the store that this node has seen; `None` before the first read.
@@ -167,6 +169,7 @@
             catalog: RefCell::default(),
             declarations_read_at: Cell::default(),
             declared: follow::Declared::default(),
+            listed_at: Cell::default(),
             told_catalog: Cell::default(),
             store_era: Cell::default(),
             known_fence: Cell::default(),
@@ -224,11 +227,16 @@
     }
 
     /// Returns whether this node has heard which catalog the others have, so that it doesn't start with an
-    /// older one from a restored store.
+    /// older one from a restored store. Nodes that all start together wait for nobody once they hear each
+    /// other, and for silent ones no longer than an answer takes.
     pub fn has_heard_catalogs(&self, now: Duration) -> bool {
+        let peers = self.peers.borrow();
+        let awaits_peer =
+            || self.listed_at.get().is_none_or(|at| peers.awaits_first_heartbeat(at, now));
         self.settings.first_start
             || now.saturating_sub(self.started_at) >= CATALOG_WAIT
-            || self.peers.borrow().has_older_peer(now)
+            || peers.has_older_peer(now)
+            || !awaits_peer()
     }
 
     /// Returns the age of the known API keys; `None` before the first read of the declarations.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -596,6 +596,13 @@
         self.recent(now).any(|(_, peer)| peer.uptime(now) > uptime + YOUNG_TIME)
     }
 
+    /// Reports whether a listed direct peer may still be heard for the first time. One that is alive answers
+    /// the first heartbeat of this node with its next one; `listed_at` is the time of the first list.
+    pub fn awaits_first_heartbeat(&self, listed_at: Duration, now: Duration) -> bool {
+        now.saturating_sub(listed_at) < self.silent_time()
+            && self.direct(now).any(|(_, peer)| peer.seen.is_none())
+    }
+
     /// Reports whether a direct peer has started so recently that it lacks the history of the windows.
     pub fn has_young_peer(&self, now: Duration) -> bool {
         self.recent(now).any(|(_, peer)| peer.is_young(now))
--- a/tests/peer_roles.rs
+++ b/tests/peer_roles.rs
@@ -307,3 +307,50 @@
     let receipt = receive(31, 3_000, 9_002);
     assert!(receipt.delay >= Some(Duration::from_millis(5_000)), "{receipt:?}");
 }
+
+/// Guards against nodes that all start and wait for an older one that doesn't exist, and against a node that
+/// joins a running fleet and doesn't wait for it.
+#[test]
+fn starting_nodes_wait_for_older_ones_only() {
+    const MAX_WAIT: Duration = Duration::from_millis(350);
+    for nodes in [2, 5, 24] {
+        let mut fleet = Fleet::new(nodes, 3);
+        let listed_at = fleet.now;
+        let awaits = |fleet: &Fleet, index: usize| {
+            fleet.members[index].peers.awaits_first_heartbeat(listed_at, fleet.now)
+        };
+        assert!((0..nodes).all(|index| awaits(&fleet, index)), "{nodes} nodes have heard nobody");
+        // Each node sends its first heartbeat within 0.1 s, and none waits for the second.
+        fleet.run(Duration::from_millis(120));
+        assert!((0..nodes).all(|index| !awaits(&fleet, index)), "{nodes} nodes wait for nobody");
+
+        // A listed node that is gone is waited for as long as an answer may take.
+        let mut fleet = Fleet::new(nodes, 3);
+        fleet.members[1].is_silent = true;
+        fleet.run(MAX_WAIT - 2 * STEP);
+        assert!(awaits(&fleet, 0), "{nodes} nodes, one is silent");
+        fleet.run(2 * STEP);
+        assert!(!awaits(&fleet, 0), "{nodes} nodes, one is silent for long");
+    }
+
+    let mut fleet = Fleet::new(6, 3);
+    fleet.members[0].is_silent = true;
+    fleet.run(Duration::from_secs(4));
+    let (now, member) = (fleet.now, &mut fleet.members[0]);
+    (member.started, member.next_beat, member.is_silent) = (now, now + STEP, false);
+    member.peers = Peers::new(member.name.clone(), member.domain.clone(), 1, now);
+    for index in 1..6 {
+        let name = Arc::from(format!("node-{index}"));
+        fleet.members[0].peers.add(name, None, address(index), now);
+    }
+    let listed_at = fleet.now;
+    let hears_older = |fleet: &Fleet| fleet.members[0].peers.has_older_peer(fleet.now);
+    while !hears_older(&fleet) {
+        let peers = &fleet.members[0].peers;
+        assert!(
+            peers.awaits_first_heartbeat(listed_at, fleet.now),
+            "it takes its copy for the newest"
+        );
+        fleet.run(STEP);
+    }
+}
