Divide a limit when it changes, not all limits at each change

Cause: each changed limit divided all limits again, each by a pass over the nodes of the domain, so that endpoints that name limits at once cost the square of their number. Change: the limits keep the live nodes. A changed limit is divided by itself; all are divided only when the live nodes have changed, once a heartbeat.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -275,7 +275,7 @@
     let peers = node.peers.borrow();
     broadcast(&heartbeat, peers.direct_addresses(now), socket);
     node.quotas.borrow_mut().set_share(peers.quota_share(now));
-    statement::assign(node);
+    node.limits.borrow_mut().set_fleet(peers.fleet(now), now);
     node.balancer.borrow_mut().set_peer_loads(peers.loads(now).into_iter());
     // A peer may have released capacity that queued requests wait for.
     node.wake_all();
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -59,7 +59,7 @@
 }
 
 /// Live nodes as one of them knows them.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Fleet {
     pub node: Arc<str>,
     pub domain: Arc<str>,
@@ -134,6 +134,17 @@
             .min(BURST.max(self.own_rate * BURST_TIME.as_secs_f64()))
     }
 
+    /// Updates the part of the limit that this node may use.
+    fn assign(&mut self, endpoint: &str, fleet: &Fleet, now: Duration) {
+        let Some(rate) = self.usable_rate() else { return };
+        self.refill(now);
+        self.own_rate = fleet.own_rate(endpoint, &self.domain, rate);
+        // What a node saved while it was a user is another node's part now.
+        if self.own_rate == 0.0 {
+            self.tokens = self.tokens.min(0.0);
+        }
+    }
+
     fn refill(&mut self, now: Duration) {
         self.tokens = self.tokens_at(now);
         self.refilled_at = now;
@@ -169,6 +180,8 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     entries: HashMap<Arc<str>, Entry>,
+    /// Live nodes by which the limits are divided; without any, this node has no part.
+    fleet: Fleet,
     /// Time up to which callers were advised to come back, by service.
     advised: HashMap<Arc<str>, Duration>,
 }
@@ -196,20 +209,20 @@
     /// Notes a limit that can't be read: what is known holds.
     fn record_unreadable(&mut self, endpoint: &Endpoint, now: Duration) -> Outcome {
         let Endpoint { id, started_ms, domain, .. } = endpoint;
-        let entry = self.entry(id, *started_ms, domain, now);
+        let entry = Limits::entry(&mut self.entries, id, *started_ms, domain, now);
         match std::mem::replace(&mut entry.has_unreadable, true) {
             true => Outcome::Unchanged,
             false => Outcome::Unreadable,
         }
     }
 
-    fn entry(
-        &mut self,
+    fn entry<'a>(
+        entries: &'a mut HashMap<Arc<str>, Entry>,
         id: &Arc<str>,
         started_ms: u64,
         domain: &Arc<str>,
         now: Duration,
-    ) -> &mut Entry {
+    ) -> &'a mut Entry {
         let new = || Entry {
             started_ms,
             domain: domain.clone(),
@@ -222,7 +235,7 @@
             refilled_at: now,
             has_unreadable: false,
         };
-        let entry = self.entries.entry(id.clone()).or_insert_with(new);
+        let entry = entries.entry(id.clone()).or_insert_with(new);
         if entry.started_ms != started_ms {
             *entry = new();
         }
@@ -240,7 +253,7 @@
         source: Source,
         now: Duration,
     ) -> Outcome {
-        let entry = self.entry(id, started_ms, domain, now);
+        let entry = Limits::entry(&mut self.entries, id, started_ms, domain, now);
         if Some(stated_at) <= entry.stated_at {
             return Outcome::Unchanged;
         }
@@ -253,14 +266,11 @@
             return Outcome::Unchanged;
         }
         entry.changed_at = now;
-        // The part of this node follows with the next assignment.
-        match (before, rate) {
-            (Some(before), Some(rate)) => {
-                entry.own_rate *= (rate / before.max(PROBE_RATE)).min(1.0)
-            }
-            // A first limit lets the users send a burst, while the load moves to other endpoints.
-            _ => (entry.own_rate, entry.tokens) = (0.0, BURST),
+        // A first limit lets the users send a burst, while the load moves to other endpoints.
+        if before.is_none() || rate.is_none() {
+            entry.tokens = BURST;
         }
+        entry.assign(id, &self.fleet, now);
         Outcome::Changed(before, rate)
     }
 
@@ -319,16 +329,15 @@
         due.map(report).collect()
     }
 
-    /// Updates the part of each limit that this node may use.
-    pub fn assign(&mut self, fleet: &Fleet, now: Duration) {
+    /// Sets the live nodes. Only a change of them divides all limits again, so that endpoints that name
+    /// limits at once cost each a pass over the nodes of the domain, and not over each other.
+    pub fn set_fleet(&mut self, fleet: Fleet, now: Duration) {
+        if fleet == self.fleet {
+            return;
+        }
+        self.fleet = fleet;
         for (endpoint, entry) in &mut self.entries {
-            let Some(rate) = entry.usable_rate() else { continue };
-            entry.refill(now);
-            entry.own_rate = fleet.own_rate(endpoint, &entry.domain, rate);
-            // What a node saved while it was a user is another node's part now.
-            if entry.own_rate == 0.0 {
-                entry.tokens = entry.tokens.min(0.0);
-            }
+            entry.assign(endpoint, &self.fleet, now);
         }
     }
 
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -24,7 +24,6 @@
         Outcome::Unchanged => {}
         Outcome::Changed(before, limit) => {
             log_limit(&endpoint.id, before, limit, "response");
-            assign(node);
         }
         Outcome::Unreadable => {
             log::warn!("statement: event=unreadable_limit endpoint={}", endpoint.id);
@@ -54,18 +53,6 @@
     for (id, before, limit) in &changed {
         log_limit(id, *before, *limit, peer);
     }
-    if !changed.is_empty() {
-        assign(node);
-    }
-}
-
-/// Updates the part of each limit that this node may use.
-pub fn assign(node: &Node) {
-    let mut limits = node.limits.borrow_mut();
-    if !limits.is_empty() {
-        let now = clock::now();
-        limits.assign(&node.peers.borrow().fleet(now), now);
-    }
 }
 
 fn log_limit(endpoint: &Arc<str>, before: Option<f64>, limit: Option<f64>, source: &str) {
--- a/tests/endpoint_limits.rs
+++ b/tests/endpoint_limits.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomelolink::gateway::platform::{Endpoint, RateLimit};
 use pomelolink::gateway::rate_limit::{Fleet, Limits, Outcome, Permit, Scope};
@@ -115,7 +115,7 @@
                 for report in &reports {
                     self.limits[*index].merge(report, false, |_, _| Some(&domain), ms(0), now);
                 }
-                self.limits[*index].assign(fleet, now);
+                self.limits[*index].set_fleet(fleet.clone(), now);
             }
         }
     }
@@ -297,3 +297,41 @@
     assert_eq!(limits.reports(Scope::Changed, ms(3_100)).len(), 0);
     assert_eq!(limits.reports(Scope::Own, ms(3_100)).len(), 200);
 }
+
+/// Guards against work that grows with the square of the limits when many endpoints name one at once, and
+/// against a pass over all limits with each heartbeat.
+#[test]
+fn each_limit_is_divided_once() {
+    const FEW: usize = 100;
+    const MANY: usize = 1_600;
+    let nodes = Nodes::new(330, 6);
+    let group: Vec<usize> = (0..330).collect();
+    // Returns the times for naming limits and for as many heartbeats without a change of the nodes.
+    let times = |count: usize| {
+        let targets: Vec<_> = (0..count).map(|index| endpoint(&format!("e{index}"), 1)).collect();
+        let mut limits = Limits::default();
+        limits.set_fleet(nodes.fleet(0, &group), ms(900));
+        let start = Instant::now();
+        for target in &targets {
+            limits.record(target, RateLimit::PerSecond(3.0), ms(1_000));
+        }
+        let named = start.elapsed();
+        let fleets: Vec<_> = (0..FEW).map(|_| nodes.fleet(0, &group)).collect();
+        let start = Instant::now();
+        for fleet in fleets {
+            limits.set_fleet(fleet, ms(1_100));
+        }
+        assert_eq!(limits.limited_count(), count);
+        (named, start.elapsed())
+    };
+    let least = |count: usize| {
+        let runs: Vec<_> = (0..5).map(|_| times(count)).collect();
+        let named = runs.iter().map(|(named, _)| *named).min().expect("runs");
+        (named, runs.iter().map(|(_, beats)| *beats).min().expect("runs"))
+    };
+    let ((few_named, few_beats), (many_named, many_beats)) = (least(FEW), least(MANY));
+    println!("{FEW}: {few_named:?}, {few_beats:?}; {MANY}: {many_named:?}, {many_beats:?}");
+    let growth = (MANY / FEW) as u32;
+    assert!(many_named < few_named * growth * 4, "{few_named:?} and {many_named:?}");
+    assert!(many_beats < few_beats * 4 + ms(1), "{few_beats:?} and {many_beats:?}");
+}
