Take an endpoint's own word that it leaves

Cause: an endpoint that leaves says so in its responses (Server-Leaving: 1), and a node that had passed one on went on sending it requests until the list told. Change: the statement of a response carries it; the node's list of endpoints takes it like an announced leaving, for the life of that start. Rows that still show the endpoint as ready are corrected before they are applied and before peers are told. A departure time that the list names later replaces the assumed one. A restarted endpoint whose state differs gets its cache estimate cleared too. Metric pomelolink_avoided_endpoints by reason.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -304,6 +304,7 @@
                     node.roster.borrow().drop_gone(&mut changes);
                     add_removals(&node, &mut changes);
                 }
+                keep_leaving(&node, &mut changes);
                 // What a node reads at its start is known to its peers.
                 if own_read_at.is_some() {
                     publish_changes(&node, &changes);
@@ -341,6 +342,16 @@
     changes.extend(known.filter(|id| !listed.contains(*id)).cloned().map(Change::Removed));
 }
 
+/// Corrects the list by what is known of leaving endpoints, so that the peers are told it too.
+fn keep_leaving(node: &Node, changes: &mut [Change]) {
+    let roster = node.roster.borrow();
+    for change in changes {
+        if let Change::Updated(endpoint) = change {
+            roster.keep_leaving(endpoint);
+        }
+    }
+}
+
 /// Queues changes for the peers, except the regular reports of endpoints that change nothing.
 fn publish_changes(node: &Node, changes: &[Change]) {
     let roster = node.roster.borrow();
@@ -425,15 +436,14 @@
             endpoint.domain,
             endpoint.reclaimable
         ),
-        Some(before) if before.draining != endpoint.draining => log::info!(
-            "follow: event=endpoint_state endpoint={} draining={} reclaimable={}",
-            endpoint.id,
-            endpoint.draining,
-            endpoint.reclaimable
-        ),
         Some(before) if before.started_ms != endpoint.started_ms => {
             node.balancer.borrow_mut().clear_cache(&endpoint.id);
         }
+        Some(before) if endpoint.draining && !before.draining => log::info!(
+            "follow: event=endpoint_state endpoint={} draining=true reclaimable={}",
+            endpoint.id,
+            endpoint.reclaimable
+        ),
         Some(_) => {}
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     peer_ages: Option<IntGaugeVec>,
     allowed_retries: Option<IntGaugeVec>,
     endpoints: Option<IntGaugeVec>,
+    avoided_endpoints: Option<IntGaugeVec>,
 }
 
 impl Registry {
@@ -101,6 +102,11 @@
             "Requests, unread prompt tokens, slowness in percent and pause of each listed endpoint.",
             &["endpoint", "field"],
         );
+        let avoided_endpoints = gauge(
+            "pomelolink_avoided_endpoints",
+            "Listed endpoints that get no new requests from this node, by reason.",
+            &["reason"],
+        );
         Registry {
             registry,
             outcomes,
@@ -115,6 +121,7 @@
             peer_ages,
             allowed_retries,
             endpoints,
+            avoided_endpoints,
         }
     }
 
@@ -243,6 +250,14 @@
                 set("paused", i64::from(entry.health.is_paused(now)));
             }
         }
+        if let Some(avoided) = &self.avoided_endpoints {
+            avoided.reset();
+            for entry in node.roster.borrow().iter() {
+                if let Some(reason) = entry.avoidance(now) {
+                    avoided.with_label_values(&[reason]).inc();
+                }
+            }
+        }
     }
 }
 
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -259,6 +259,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Statement {
     pub rate_limit: RateLimit,
+    /// Set if the endpoint takes no new requests and will be gone.
+    pub is_leaving: bool,
 }
 
 /// Values that the gateway reads from the headers of an endpoint's response.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -112,6 +112,8 @@
     pub health: Health,
     /// Time at which the endpoint will be gone; `None` unless it is draining.
     pub leaves_at: Option<Duration>,
+    /// Whether `leaves_at` is an assumption, as the endpoint itself has not said when it will be gone.
+    is_departure_assumed: bool,
     /// Time until which the endpoint is still used although its entry disappeared after a store outage.
     missing_until: Option<Duration>,
 }
@@ -119,8 +121,20 @@
 impl Entry {
     /// Returns whether the endpoint may get new requests.
     pub fn is_usable(&self, now: Duration) -> bool {
-        let is_present = self.missing_until.is_none_or(|until| now < until);
-        !self.endpoint.draining && is_present && !self.health.is_paused(now)
+        self.avoidance(now).is_none()
+    }
+
+    /// Returns the reason for which the endpoint may not get new requests, if any.
+    pub fn avoidance(&self, now: Duration) -> Option<&'static str> {
+        if self.endpoint.draining {
+            Some("leaving")
+        } else if self.missing_until.is_some_and(|until| now >= until) {
+            Some("missing")
+        } else if self.health.is_paused(now) {
+            Some("failing")
+        } else {
+            None
+        }
     }
 
     /// Returns whether the endpoint's entry disappeared after a store outage.
@@ -134,14 +148,21 @@
     }
 }
 
+/// An endpoint whose entry was removed.
+#[derive(Debug)]
+struct Gone {
+    removed_at: Duration,
+    was_leaving: bool,
+}
+
 /// The listed endpoints by identifier.
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: HashMap<Arc<str>, Entry>,
     /// Endpoints whose entries were removed, with the time at which they will be gone.
     departed: HashMap<Arc<str>, Duration>,
-    /// Starts of endpoints that have left, with the time at which their entries were removed.
-    gone: HashMap<(Arc<str>, u64), Duration>,
+    /// Starts of endpoints that have left.
+    gone: HashMap<(Arc<str>, u64), Gone>,
     last_outage: Option<Duration>,
 }
 
@@ -177,20 +198,16 @@
         match change {
             Change::Updated(mut endpoint) => {
                 let id = endpoint.id.clone();
-                // A leaving endpoint never stays, whatever an older row says.
-                if let Some(known) = self.entries.get(&id).map(|entry| &entry.endpoint)
-                    && known.started_ms == endpoint.started_ms
-                    && known.draining
-                    && !endpoint.draining
-                {
-                    (endpoint.draining, endpoint.leaves_in) = (true, known.leaves_in);
+                self.keep_leaving(&mut endpoint);
+                if !endpoint.draining {
+                    self.gone.remove(&(id.clone(), endpoint.started_ms));
                 }
-                self.gone.remove(&(id.clone(), endpoint.started_ms));
                 let leaving = endpoint.draining.then(|| id.clone());
                 let entry = self.entries.entry(id).or_insert_with(|| Entry {
                     endpoint: endpoint.clone(),
                     health: Health::default(),
                     leaves_at: None,
+                    is_departure_assumed: false,
                     missing_until: None,
                 });
                 if entry.endpoint.started_ms != endpoint.started_ms {
@@ -198,6 +215,10 @@
                     entry.leaves_at = None;
                 }
                 if endpoint.draining {
+                    if entry.is_departure_assumed && endpoint.leaves_in.is_some() {
+                        entry.leaves_at = None;
+                    }
+                    entry.is_departure_assumed = endpoint.leaves_in.is_none();
                     let remaining = endpoint.leaves_in.unwrap_or(drain);
                     entry.leaves_at.get_or_insert(now + remaining);
                 }
@@ -215,13 +236,53 @@
                 } else if let Some(entry) = self.entries.remove(&id) {
                     let leaves_at = entry.leaves_at.unwrap_or(now + drain);
                     self.departed.insert(id.clone(), leaves_at);
-                    self.gone.insert((id.clone(), entry.endpoint.started_ms), now);
+                    let was_leaving = entry.endpoint.draining;
+                    let start = (id.clone(), entry.endpoint.started_ms);
+                    self.gone.insert(start, Gone { removed_at: now, was_leaving });
                 }
                 Some(id)
             }
         }
     }
 
+    /// Sets an endpoint that the list shows as ready to leaving if this start of it is known to leave: a leaving
+    /// endpoint never stays, whatever an older row says.
+    pub fn keep_leaving(&self, endpoint: &mut Endpoint) {
+        if endpoint.draining {
+            return;
+        }
+        let known = self.entries.get(&endpoint.id).map(|entry| &entry.endpoint);
+        match known.filter(|known| known.started_ms == endpoint.started_ms) {
+            Some(known) if known.draining => {
+                (endpoint.draining, endpoint.leaves_in) = (true, known.leaves_in);
+            }
+            Some(_) => {}
+            None => {
+                let gone = self.gone.get(&(endpoint.id.clone(), endpoint.started_ms));
+                endpoint.draining = gone.is_some_and(|gone| gone.was_leaving);
+            }
+        }
+    }
+
+    /// Records that an endpoint itself has said that it leaves; returns whether that is new. It holds for the
+    /// life of this start of the endpoint, whatever the list says.
+    pub fn record_leaving(
+        &mut self,
+        id: &str,
+        started_ms: u64,
+        drain: Duration,
+        now: Duration,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
+        if entry.endpoint.started_ms != started_ms || entry.endpoint.draining {
+            return false;
+        }
+        entry.endpoint.draining = true;
+        entry.leaves_at = Some(now + drain);
+        entry.is_departure_assumed = true;
+        true
+    }
+
     /// Removes from a complete list the endpoints that had left before the store was restored from a copy.
     /// One that is alive after all reports again.
     pub fn drop_gone(&self, changes: &mut Vec<Change>) {
@@ -264,7 +325,7 @@
     /// Drops entries that did not come back after a store outage, and departed endpoints that are long
     /// gone.
     pub fn expire(&mut self, now: Duration) {
-        self.gone.retain(|_, removed_at| now.saturating_sub(*removed_at) < REMEMBER_GONE);
+        self.gone.retain(|_, gone| now.saturating_sub(gone.removed_at) < REMEMBER_GONE);
         self.departed.retain(|_, leaves_at| now < *leaves_at + FORGET_AFTER);
         self.entries.retain(|_, entry| entry.missing_until.is_none_or(|until| now < until));
     }
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -19,6 +19,9 @@
     if !is_current {
         return;
     }
+    if statement.is_leaving {
+        record_leaving(node, endpoint);
+    }
     let outcome = node.limits.borrow_mut().record(endpoint, statement.rate_limit, clock::now());
     match outcome {
         Outcome::Unchanged => {}
@@ -31,6 +34,19 @@
     }
 }
 
+/// Takes the word of an endpoint that it leaves like that of the platform's list. Peers learn it from its
+/// responses or from the list.
+fn record_leaving(node: &Node, endpoint: &Endpoint) {
+    let drain = node.settings.bounds.drain;
+    let mut roster = node.roster.borrow_mut();
+    if roster.record_leaving(&endpoint.id, endpoint.started_ms, drain, clock::now()) {
+        drop(roster);
+        log::info!("statement: event=endpoint_leaving endpoint={} source=response", endpoint.id);
+        node.departures.send_modify(|count| *count += 1);
+        node.wake_all();
+    }
+}
+
 /// Applies the limits that a peer reports; `delay` is the time that its datagram took.
 pub fn apply_reports(
     node: &Node,
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -98,6 +98,38 @@
     assert!(roster.get("e").expect("listed").is_usable(at(5)));
 }
 
+/// Guards against an endpoint that has said itself that it leaves and is taken for ready by a row of the list, also
+/// after its entry was removed, and against a departure that is taken for earlier than the list says.
+#[test]
+fn own_word_of_leaving_holds() {
+    let ms = Duration::from_millis;
+    let mut roster = Roster::default();
+    roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(1));
+    assert!(!roster.record_leaving("e", 2, DRAIN, at(2)), "a word of another start");
+    assert!(!roster.record_leaving("other", 1, DRAIN, at(2)), "an unknown endpoint");
+    assert!(roster.record_leaving("e", 1, DRAIN, at(2)));
+    assert!(!roster.record_leaving("e", 1, DRAIN, at(3)), "it is known");
+    assert_eq!(roster.leaves_at("e", 1), Some(at(4)));
+    let state = |roster: &Roster, now| roster.get("e").expect("listed").avoidance(now);
+    for second in 3..20 {
+        roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(second));
+        assert_eq!(state(&roster, at(second)), Some("leaving"));
+        assert_eq!(roster.leaves_at("e", 1), Some(at(4)), "reports don't put it off");
+    }
+    // Peers are told what is known.
+    let mut row = endpoint(false, 1);
+    roster.keep_leaving(&mut row);
+    assert!(row.draining);
+    let leaving = Endpoint { leaves_in: Some(ms(8_000)), ..endpoint(true, 1) };
+    roster.apply(Change::Updated(leaving), DRAIN, at(20));
+    assert_eq!(roster.leaves_at("e", 1), Some(at(28)), "the list knows when it will be gone");
+    roster.apply(Change::Removed("e".into()), DRAIN, at(21));
+    roster.apply(Change::Updated(endpoint(false, 1)), DRAIN, at(22));
+    assert_eq!(state(&roster, at(22)), Some("leaving"));
+    roster.apply(Change::Updated(endpoint(false, 2)), DRAIN, at(23));
+    assert_eq!(state(&roster, at(23)), None, "another start is another endpoint");
+}
+
 /// Guards against a live endpoint that is dropped because the copy of the store is older than its entry.
 #[test]
 fn missing_endpoint_is_kept_until_it_reports_again() {
