Keep the pauses that endpoints ask for

Cause: a refusal with status 503 may carry Retry-After, by which an endpoint wants nothing from this node for that time. Nodes read it nowhere and went on sending. The planner counts a paused endpoint as absent.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 pub mod notice;
+pub mod pause;
 pub mod peers;
 mod place;
 pub mod platform;
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -449,7 +449,9 @@
                 *other_counts.entry(kind).or_default() += 1;
             } else {
                 snapshot.add_endpoint(endpoint.domain.clone(), endpoint.reclaimable);
-                if let Some(rate) = node.limits.borrow().rate(&endpoint.id) {
+                let is_paused = node.pauses.borrow().is_paused(&endpoint.id, now);
+                let rate = node.limits.borrow().rate(&endpoint.id);
+                if let Some(rate) = if is_paused { Some(0.0) } else { rate } {
                     snapshot.add_limit(rate, node.demand.borrow().mean_tokens(&service.name));
                 }
             }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -413,6 +413,7 @@
         roster.get(id).is_some_and(|entry| entry.endpoint.started_ms == started_ms)
     };
     node.limits.borrow_mut().retain(is_current, now);
+    node.pauses.borrow_mut().retain(is_current);
     drop(roster);
     if has_departures {
         node.departures.send_modify(|count| *count += 1);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -253,7 +253,9 @@
         if let Some(avoided) = &self.avoided_endpoints {
             avoided.reset();
             for entry in node.roster.borrow().iter() {
-                if let Some(reason) = entry.avoidance(now) {
+                let is_paused = node.pauses.borrow().is_paused(&entry.endpoint.id, now);
+                let reason = entry.avoidance(now).or(is_paused.then_some("pause_asked"));
+                if let Some(reason) = reason {
                     avoided.with_label_values(&[reason]).inc();
                 }
             }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -15,6 +15,7 @@
 use crate::gateway::demand::Demand;
 use crate::gateway::link::Pools;
 use crate::gateway::notice::Notices;
+use crate::gateway::pause::Pauses;
 use crate::gateway::peers::Peers;
 use crate::gateway::platform::{HeaderCodec, Platform};
 use crate::gateway::quarantine::Quarantine;
@@ -125,6 +126,7 @@
     pub shifts: RefCell<Shifts>,
     pub quarantine: RefCell<Quarantine>,
     pub limits: RefCell<Limits>,
+    pub pauses: RefCell<Pauses>,
     pub peers: RefCell<Peers>,
     pub waiting: RefCell<HashMap<Arc<str>, Waiters>>,
     pub pools: Pools,
@@ -187,6 +189,7 @@
             shifts: RefCell::new(Shifts::new(settings.bounds.exposure)),
             quarantine: RefCell::default(),
             limits: RefCell::default(),
+            pauses: RefCell::default(),
             peers: RefCell::new(peers),
             waiting: RefCell::default(),
             pools: Pools::default(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -29,6 +29,9 @@
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Part of the time until a request's deadline that it may wait for the rate limits of endpoints.
 const MAX_LIMIT_WAIT_SHARE: f64 = 0.5;
+/// Longest time for which a request waits for the end of a pause that all endpoints have asked for; it is
+/// refused at once for a longer one.
+const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
 /// Longest assumed time between two requests that the rate limits of endpoints allow.
 const MAX_LIMIT_INTERVAL: Duration = Duration::from_secs(60);
 /// Least divisor for the ratio of observed to estimated time, in seconds.
@@ -229,6 +232,19 @@
                 set_min_interval(node, context, budget.interval);
                 next_permit = Some(budget.next);
             }
+            Some(Selection::Paused(wait)) => {
+                if wait > MAX_PAUSE_WAIT {
+                    log::info!(
+                        "place: event=endpoints_paused id={} service={} wait_ms={}",
+                        context.metadata.id,
+                        context.service,
+                        wait.as_millis()
+                    );
+                    return Err((Cause::Paused, Some(queue::jitter(wait, context.hash))));
+                }
+                set_min_interval(node, context, Duration::ZERO);
+                next_permit = Some(wait);
+            }
             Some(Selection::Full(next)) => {
                 set_min_interval(node, context, Duration::ZERO);
                 next_permit = next;
@@ -346,9 +362,11 @@
 pub fn try_acquire(node: &Rc<Node>, context: &Context, tried: &[Arc<str>]) -> Option<Placement> {
     match select(node, context, tried, context.deadline, clock::now()) {
         Selection::Endpoint(placement) => Some(placement),
-        Selection::Late(_) | Selection::Full(_) | Selection::Limited(_) | Selection::NoEndpoint => {
-            None
-        }
+        Selection::Late(_)
+        | Selection::Full(_)
+        | Selection::Limited(_)
+        | Selection::Paused(_)
+        | Selection::NoEndpoint => None,
     }
 }
 
@@ -361,6 +379,8 @@
     Full(Option<Duration>),
     /// The rate limits of all endpoints are used up.
     Limited(Budget),
+    /// All endpoints have asked for a pause; the first may get a request after this time.
+    Paused(Duration),
     /// The service has no endpoint that may be tried.
     NoEndpoint,
 }
@@ -451,14 +471,27 @@
     if entries.is_empty() {
         return Selection::NoEndpoint;
     }
+    let mut pauses = node.pauses.borrow_mut();
+    let mut pause = Duration::MAX;
+    if !pauses.is_empty() {
+        entries.retain(|entry| {
+            let wait = pauses.wait(&entry.endpoint.id, now);
+            pause = pause.min(wait.unwrap_or(Duration::MAX));
+            wait.is_none()
+        });
+        if entries.is_empty() {
+            return Selection::Paused(pause);
+        }
+    }
     let mut limits = node.limits.borrow_mut();
     let budget = match limits.is_empty() {
         true => None,
         false => Budget::apply(&limits, &mut entries, now),
     };
-    if let Some(budget) = budget {
+    if let Some(mut budget) = budget {
         node.metrics.record_limit_skip(&context.service);
         if entries.is_empty() {
+            budget.next = budget.next.min(pause);
             return Selection::Limited(budget);
         }
     }
@@ -472,11 +505,12 @@
         Ok(choice) => choice,
         Err(Overload::Late(late)) => return Selection::Late(late),
         Err(Overload::Full) => {
-            let next = budget.map(|budget| budget.next).filter(|next| *next < Duration::MAX);
-            return Selection::Full(next);
+            let next = budget.map_or(pause, |budget| budget.next.min(pause));
+            return Selection::Full((next < Duration::MAX).then_some(next));
         }
     };
     limits.spend(&choice.endpoint, now);
+    pauses.record_request(&choice.endpoint, now);
     balancer.start_request(&choice, job.prompt, now);
     let Choice { endpoint, load, baseline, predicted, shows_prefill_rate } = choice;
     let Some(entry) = roster.get(&endpoint) else { return Selection::NoEndpoint };
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -255,12 +255,24 @@
     Unreadable,
 }
 
+/// Time for which an endpoint wants no requests from the node to which it sends a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Pause {
+    #[default]
+    Absent,
+    For(Duration),
+    /// The response names a time that can't be read.
+    Unreadable,
+}
+
 /// What an endpoint states about itself in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Statement {
     pub rate_limit: RateLimit,
     /// Set if the endpoint takes no new requests and will be gone.
     pub is_leaving: bool,
+    /// Asked for with a refusal.
+    pub pause: Pause,
 }
 
 /// Values that the gateway reads from the headers of an endpoint's response.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -29,6 +29,8 @@
     Busy,
     /// All endpoints have named rate limits, and these are used up.
     Limited,
+    /// All endpoints have asked for a pause.
+    Paused,
     /// A part of the prompt crashes endpoints.
     Quarantined,
     /// Endpoints refused the request or could not be reached; it did not run.
@@ -40,7 +42,7 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 17] = [
+    const ALL: [Cause; 18] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
@@ -54,6 +56,7 @@
         Cause::Stopping,
         Cause::Busy,
         Cause::Limited,
+        Cause::Paused,
         Cause::Quarantined,
         Cause::NotRun,
         Cause::Unknown,
@@ -92,6 +95,9 @@
             Cause::Limited => {
                 "its service's endpoints had named rate limits, which were used up; see limits_used"
             }
+            Cause::Paused => {
+                "its service's endpoints had asked this node for a pause; see pause_asked and endpoints_paused"
+            }
             Cause::Quarantined => {
                 "a part of its prompt has crashed endpoints; see quarantined and crash: event=checked"
             }
@@ -120,6 +126,7 @@
             Cause::Stopping => "stopping",
             Cause::Busy => "busy",
             Cause::Limited => "limited",
+            Cause::Paused => "paused",
             Cause::Quarantined => "quarantined",
             Cause::NotRun => "not_run",
             Cause::Unknown => "unknown",
@@ -142,6 +149,7 @@
             | Cause::NoEndpoint
             | Cause::Busy
             | Cause::Limited
+            | Cause::Paused
             | Cause::Quarantined
             | Cause::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Unknown => StatusCode::BAD_GATEWAY,
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::clock;
 use crate::gateway::node::Node;
+use crate::gateway::pause;
 use crate::gateway::platform::{Endpoint, Statement};
 use crate::gateway::rate_limit::{Limits, Outcome, Report};
 
@@ -22,6 +23,18 @@
     if statement.is_leaving {
         record_leaving(node, endpoint);
     }
+    let outcome = node.pauses.borrow_mut().record(endpoint, statement.pause, clock::now());
+    match outcome {
+        pause::Outcome::Unchanged => {}
+        pause::Outcome::Began(length) => log::info!(
+            "statement: event=pause_asked endpoint={} pause_ms={}",
+            endpoint.id,
+            length.as_millis()
+        ),
+        pause::Outcome::Unreadable => {
+            log::warn!("statement: event=unreadable_pause endpoint={}", endpoint.id);
+        }
+    }
     let outcome = node.limits.borrow_mut().record(endpoint, statement.rate_limit, clock::now());
     match outcome {
         Outcome::Unchanged => {}
