Advise no caller to come back before a pause ends

The advice got the jitter of queues, 0.75 to 1.5 times the time, drawn from the request, so a third of the callers were called back while all endpoints still paused. Change: 1 to 1.25 times.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -240,7 +240,7 @@
                         context.service,
                         wait.as_millis()
                     );
-                    return Err((Cause::Paused, Some(queue::jitter(wait, context.hash))));
+                    return Err((Cause::Paused, Some(queue::delay(wait, context.hash))));
                 }
                 set_min_interval(node, context, Duration::ZERO);
                 next_permit = Some(wait);
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -128,8 +128,17 @@
     }
 }
 
+/// Adds jitter to the time until an endpoint takes requests again: 1 to 1.25 times it, never less.
+pub fn delay(available_after: Duration, hash: u64) -> Duration {
+    available_after.mul_f64(1.0 + 0.25 * fraction(hash))
+}
+
 /// Adds jitter, so that refused callers don't all retry at one moment: 0.75 to 1.5 times the advice.
 pub fn jitter(retry_after: Duration, hash: u64) -> Duration {
-    let fraction = (hash >> 40) as f64 / (1_u64 << 24) as f64;
-    retry_after.mul_f64(0.75 + 0.75 * fraction)
+    retry_after.mul_f64(0.75 + 0.75 * fraction(hash))
+}
+
+/// Returns a number from 0 to 1 that depends on the hash only.
+fn fraction(hash: u64) -> f64 {
+    (hash >> 40) as f64 / (1_u64 << 24) as f64
 }
--- a/tests/asked_pauses.rs
+++ b/tests/asked_pauses.rs
@@ -4,6 +4,7 @@
 
 use pomelolink::gateway::pause::{Outcome, Pauses};
 use pomelolink::gateway::platform::{Endpoint, Pause};
+use pomelolink::gateway::queue;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -84,3 +85,12 @@
     pauses.retain(|_, started_ms| started_ms == 3);
     assert!(pauses.is_empty());
 }
+
+/// Guards against advice to come back before the pause is over, and against callers that all come back at once.
+#[test]
+fn advice_is_never_early() {
+    let advice = |hash: u64| queue::delay(ms(1_000), hash);
+    assert_eq!(advice(0), ms(1_000));
+    assert_eq!(advice(1 << 63), ms(1_125));
+    assert!(advice(u64::MAX) > ms(1_249) && advice(u64::MAX) <= ms(1_250));
+}
