--- a/review/1/case.py
+++ b/review/1/case.py
@@ -106,7 +106,7 @@
     await asyncio.sleep(3)
     await start_workers("v2")
     # Each deployment gets its order at another time within the half second between two snapshots.
-    await asyncio.sleep(1 + 0.1 * int(sys.argv[1]))
+    await asyncio.sleep(1 + 0.07 * int(sys.argv[1]))
     order = {"service": "app", "to": "v2", "duration_s": DURATION_S}
     ordered_at = await platform.put("op", "rollout/app", order)
     record.write(f"the operator orders {order}")
@@ -131,4 +131,4 @@
 
 
 # The gateways lose the state only if they have not stored it yet, about every second time.
-main_parallel(case, FOLDER, 5)
+main_parallel(case, FOLDER, 7)
