--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,12 +11,12 @@
 from plain import PlainWorker
 from standin import CannotRun, main, now, send
 
-RATE, DURATION_S = 150, 12
+RATE, DURATION_S = 200, 10
 # Every fifth answer of the bad version is a failure.
 WORK_S = {"v1": 0.02, "v2": 0.02, "v3": 0.02}
 FAILS_EVERY = {"v1": 0, "v2": 5, "v3": 0}
 # Time after `reverted` at which the new workers drain ("some seconds later"), and at which the next order comes.
-DRAINED_AFTER_S, NEXT_ORDER_AFTER_S = 5.0, 1.0
+DRAINED_AFTER_S, NEXT_ORDER_AFTER_S = 3.5, 0.2
 FRACTION, TOLERANCE, ROLLBACK_S = 0.1, 50, 5.0
 
 
