--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,84 +1,73 @@
-"""A booking that a worker has run and failed with a 503 of its own is answered 503, which promises that it has not run."""
+"""Streams of clients that have left are sent to another worker."""
 
 import asyncio
+import json
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from engine import config
-from plain import PlainWorker
-from standin import CannotRun, main, now, response, send
+from engine import Engine, config
+from standin import CannotRun, main, now, send
 
-BOOKINGS, RATE = 200, 20
-# Share of the requests that fail (`srv_grey`, x).
-SHARE = 0.45
-
-
-class FailingWorker(PlainWorker):
-    """Enters the booking, and then fails some requests; the answer doesn't say that the request was not run."""
-
-    entered, failing = [], False
-
-    async def handle(self, request, reader, writer):
-        method, target, headers, body = request
-        if target == "/healthz":
-            writer.write(response(200, [("X-Instance-Id", self.id)]))
-            return None
-        if self.is_misdirected(headers, writer):
-            return None
-        id, slot = headers["x-attempt-id"], body.decode()
-        FailingWorker.entered.append((id, slot))
-        await asyncio.sleep(0.03)
-        count = len(FailingWorker.entered)
-        fails = FailingWorker.failing and int(count * SHARE) > int((count - 1) * SHARE)
-        seal = [("X-Attempt-Id", id), ("X-Response-Seal", f"seal.{self.id}.{id}")]
-        self.record.write(f"worker {self.id} has run {id} for {slot}, answers {503 if fails else 200}")
-        writer.write(response(503, seal, b"entered, but the receipt failed") if fails else response(200, seal, b"entered"))
-        return None
+# 4 workers of 16 slots, almost full; one of them (share 0.25) crashes. A stream lasts 13.5 s.
+WORKERS, SLOTS, STREAMS = 4, 16, 60
+EVENTS, EVENT_S, RATE, CRASH_AT_S = 90, 0.15, 13, 10
+# Clients abandon a stream after a gap of two seconds (four times the objective of 0.4 s and eight times the pause of
+# 0.25 s are no longer).
+GAP_S = 2.0
+# "more than a few requests"
+FEW = 5
 
 
 async def case(platform, gateway, record, trouble):
-    await platform.put("op", "config", config(1))
-    zones = ["milano-a", "milano-b", "torino-a", "torino-b"]
-    workers = [await FailingWorker(platform, record, f"i-{zone}", "app", zone, slots=6).start() for zone in zones]
-    entries = [gateway(index) for index in range(5)]
+    document = config(1)
+    document["services"][0]["runtime"]["slots"] = SLOTS
+    await platform.put("op", "config", document)
+    workers = [await Engine(platform, record, f"i-{index}", "llm", "milano-a", slots=SLOTS, gap_s=EVENT_S).start()
+               for index in range(WORKERS)]
+    entries = [gateway(index) for index in range(2)]
     for entry in entries:
         await entry.wait_ready()
     await asyncio.sleep(2)
-    FailingWorker.failing = trouble
-    statuses, done = {}, []
+    left_at, outcomes = {}, {}
 
     async def client(number):
-        # One retry, on a new connection, only after a promise that the request has not run.
-        for attempt in range(2):
-            id = f"{number:015x}{attempt}"
-            entry = entries[(number + attempt) % len(entries)]
-            answer = await send(entry.callers, "/book/1", id, 3_000, body=f"slot-{number}".encode())
-            statuses[id] = answer.status
-            record.write(f"client of {id}: status {answer.status}, seal {answer.headers.get('x-response-seal')}")
-            if answer.status not in (429, 503, 408, 421):
-                break
-            await asyncio.sleep(float(answer.headers.get("retry-after", 0.1)))
-        done.append(number)
+        id = f"{number:016x}"
+        headers = [("X-Model", "m"), ("X-Token-Count", "800,450"), ("X-Prefix-Hash", f"{number + 4096:x}:800")]
+        body = json.dumps({"events": EVENTS}).encode()
+        address = entries[number % len(entries)].callers
+        answer = await send(address, "/chat/1", id, 15_000, headers, body=body, gap_s=GAP_S)
+        if not answer.complete and answer.status == 200 and answer.error == "the client gave up":
+            left_at[id] = answer.left_at
+        outcomes[id] = (answer.status, answer.complete)
+        record.write(f"client of {id}: status {answer.status}, {len(answer.event_ids())} events, "
+                     f"complete={answer.complete} {answer.error}")
 
-    clients = []
-    for number in range(BOOKINGS):
+    clients, began = [], now()
+    for number in range(STREAMS):
         clients.append(asyncio.ensure_future(client(number)))
-        await asyncio.sleep(1 / RATE)
+        await asyncio.sleep(max(0.0, began + (number + 1) / RATE - now()))
+    await asyncio.sleep(max(0.0, began + CRASH_AT_S - now()))
+    record.write(f"streams at the workers: {[len(it.runs) for it in workers]}")
+    if trouble:
+        record.write(f"worker {workers[0].id} crashes")
+        await workers[0].crash()
+        await platform.remove("servers", workers[0].id)
     await asyncio.gather(*clients)
     for worker in workers:
         await worker.crash()
-    ran = {id for id, _ in FailingWorker.entered}
-    refused = sorted(id for id, status in statuses.items() if status in (429, 503, 408, 421) and id in ran)
-    slots = [slot for _, slot in FailingWorker.entered]
-    twice = sorted({slot for slot in slots if slots.count(slot) > 1})
-    record.write(f"{BOOKINGS} bookings, {len(statuses)} attempts, {len(ran)} run; {len(refused)} attempts were answered "
-                 f"429 or 503 and have run; {len(twice)} bookings were entered twice by their clients' retries")
-    if not ran:
-        raise CannotRun("no booking was run")
-    return bool(refused)
+    late = sorted((at - left_at[id], id, worker.id) for worker in workers for at, id in worker.arrivals
+                  if id in left_at and at > left_at[id] + 0.5)
+    for after, id, worker in late:
+        record.write(f"{id} reached worker {worker} {after:.2f} s after its client had left")
+    whole = sum(1 for _, complete in outcomes.values() if complete)
+    record.write(f"{len(outcomes)} requests, {whole} answered whole, {len(left_at)} streams left by their clients; "
+                 f"{len(late)} of these reached a worker over 0.5 s later")
+    if not whole:
+        raise CannotRun("no stream was served")
+    return len(late) > FEW
 
 
 main(case, FOLDER)
