--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -459,6 +459,7 @@
     children = []
     for index, path in enumerate(paths):
         children.append(subprocess.Popen([sys.executable, "-B", sys.argv[0], str(index), path]))
+    signal.signal(signal.SIGTERM, lambda *_: [child.terminate() for child in children])
     codes = [child.wait() for child in children]
     with open(pathlib.Path(folder) / "record.txt", "w") as file:
         for index, path in enumerate(paths):
@@ -490,6 +491,7 @@
     async def run():
         if not PROGRAM.exists():
             raise CannotRun(f"{PROGRAM} is not built")
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, finish, 2)
         platform = await Platform().start()
 
         def gateway(index, **options):
