--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,13 @@
 """A roll-out that was taken back is completed after a restart: the acknowledged `reverted` is forgotten."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# With TROUBLE=0 the same goes on without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from engine import config
@@ -131,4 +134,4 @@
 
 
 # The gateways lose the state only if they have not stored it yet, about every second time.
-main_parallel(case, FOLDER, 7)
+main_parallel(case, FOLDER, TROUBLE, 7)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -450,10 +450,10 @@
 ZONES = ["milano-a", "milano-a", "milano-b", "torino-a", "torino-b"]
 
 
-def main_parallel(case, folder, count):
+def main_parallel(case, folder, trouble, count):
     """Runs `case` in so many separate deployments at once; the rule was broken if it was in one of them."""
     if len(sys.argv) > 1:
-        return main(case, folder, sys.argv[2])
+        return main(case, folder, trouble, sys.argv[2])
     temporary = tempfile.mkdtemp(prefix="review-")
     paths = [f"{temporary}/{index}.txt" for index in range(count)]
     children = []
@@ -470,9 +470,8 @@
     sys.exit(1 if 1 in codes else 0 if 0 in codes else 2)
 
 
-def main(case, folder, path=None):
-    """Runs `case(platform, gateways, record, trouble)`, which returns whether the rule was broken."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(case, folder, trouble, path=None):
+    """Runs `case(platform, gateway, record, trouble)`, which returns whether the rule was broken."""
     record = Record(path or pathlib.Path(folder) / "record.txt")
     temporary = tempfile.mkdtemp(prefix="review-")
     gateways = []
