--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,13 @@
 """The next order after a reverted one gives the reverted version traffic again."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# With TROUBLE=0 the same goes on without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from engine import config
@@ -122,4 +125,4 @@
     return in_window > allowed or bool(late)
 
 
-main(case, FOLDER)
+main(case, FOLDER, TROUBLE)
