--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# With TROUBLE=0 the same goes on without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from engine import Engine, config
@@ -70,4 +73,4 @@
     return len(late) > FEW
 
 
-main(case, FOLDER)
+main(case, FOLDER, TROUBLE)
