Record a roll-out's outcome in the write that tells it

Cause: the status and what nodes remember of it (row `recent`) were two writes, the second up to 0.5 s later, and the status was written without a condition.

Change: gateway::rollout keeps a record for each service, written in one transaction with the status, on condition that the record is unchanged. Nodes read the records when they learn of a declaration; until then the new version gets no requests. A recorded end never changes.

Why it works: an outcome can't be acknowledged without being stored, and a holder that has not read it can't overwrite it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -37,6 +37,7 @@
 pub mod recall;
 pub mod refusal;
 pub mod relay;
+pub mod rollout;
 pub mod roster;
 mod serve;
 pub mod settings;
@@ -81,6 +82,7 @@
     tasks.spawn_local(follow::watch_endpoints(node.clone()));
     tasks.spawn_local(gossip::run(node.clone(), peers));
     tasks.spawn_local(discovery::run(node.clone()));
+    tasks.spawn_local(rollout::watch_records(node.clone()));
     tokio::task::spawn_local(recall::restore(node.clone()));
     let duties = tokio::task::spawn_local(duties::run(node.clone()));
     tokio::select! {
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -6,7 +6,7 @@
 //! later holder sends exactly the same counts again.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,9 +14,9 @@
 use crate::gateway::clock;
 use crate::gateway::fleet;
 use crate::gateway::node::Node;
-use crate::gateway::platform::{Acceptance, Fence, Order, Phase, Progress, Usage};
+use crate::gateway::platform::{Acceptance, Fence, Order, Phase, Usage};
 use crate::gateway::recall;
-use crate::gateway::version::Version;
+use crate::gateway::rollout;
 use crate::lease::{Action, Event, Grant, State};
 use crate::platform::{Outcome, Transaction};
 
@@ -144,14 +144,9 @@
 
 async fn update_and_report(context: Rc<DutyContext>) {
     let mut usage_reporter = UsageReporter::default();
-    let mut reported: HashMap<(Arc<str>, Version), Phase> = HashMap::new();
-    let mut era = context.node.store_era.get();
+    let mut rollout_reporter = rollout::Reporter::default();
     loop {
         tokio::time::sleep(REPORT_PERIOD).await;
-        // The store may have lost what was reported.
-        if std::mem::replace(&mut era, context.node.store_era.get()) != era {
-            reported.clear();
-        }
         context.node.shifts.borrow_mut().update_stages(clock::now());
         for judgment in context.node.shifts.borrow_mut().take_judgments() {
             context.node.metrics.record_judgment(judgment.reason);
@@ -159,7 +154,8 @@
         if context.node.settings.duties.usage {
             usage_reporter.step(&context).await;
         }
-        report_phases(&context, &mut reported).await;
+        let fence = || context.valid_grant().map(|grant| grant.fence);
+        rollout_reporter.step(&context.node, fence).await;
     }
 }
 
@@ -176,30 +172,6 @@
     }
 }
 
-/// Reports each change of a roll-out's phase to the platform, where operators read it.
-async fn report_phases(
-    context: &Rc<DutyContext>,
-    reported: &mut HashMap<(Arc<str>, Version), Phase>,
-) {
-    let node = &context.node;
-    let phases = node.shifts.borrow().phases(clock::now());
-    for (service, version, revision, phase) in phases {
-        let key = (service.clone(), revision);
-        if reported.get(&key) == Some(&phase) || context.valid_grant().is_none() {
-            continue;
-        }
-        let progress = Progress { service: service.clone(), version, phase };
-        match (node.platform.progress)(progress).await {
-            Ok(()) => {
-                log::info!("duties: event=phase service={service} phase={phase:?}");
-                node.shifts.borrow_mut().apply_phase(&service, revision, phase);
-                reported.insert(key, phase);
-            }
-            Err(failure) => log::warn!("duties: event=phase_untold reason=\"{failure}\""),
-        }
-    }
-}
-
 /// Usage windows whose counts were stored, and those that were sent.
 #[derive(Debug, Default)]
 struct UsageReporter {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -267,7 +267,11 @@
                  revision={revision}"
             );
             let now = clock::now();
-            node.shifts.borrow_mut().start(service, version, time_limit, revision, now);
+            let mut shifts = node.shifts.borrow_mut();
+            if shifts.start(service.clone(), version, time_limit, revision, now) {
+                shifts.await_record(&service);
+                node.rollout_declared.notify_one();
+            }
         }
     }
 }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -137,6 +137,8 @@
     pub stop: Notify,
     /// Notified when the admitted quota units should be sent to the peers soon.
     pub quota_update: Notify,
+    /// Notified when a roll-out has been declared whose record this node has to read.
+    pub rollout_declared: Notify,
     /// Set while this node holds the duties lease.
     pub holds_duties: Cell<bool>,
     /// Number of requests being served.
@@ -193,6 +195,7 @@
             closing: Cell::default(),
             stop: Notify::new(),
             quota_update: Notify::new(),
+            rollout_declared: Notify::new(),
             holds_duties: Cell::default(),
             active: Cell::default(),
             departures: watch::Sender::new(0),
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -137,7 +137,7 @@
     pub is_copied: bool,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     InProgress,
     Completed,
@@ -150,6 +150,8 @@
     pub service: Arc<str>,
     pub version: Arc<str>,
     pub phase: Phase,
+    /// Writes of the gateway's own rows that take effect together with the report, or with their conditions prevent it.
+    pub transaction: Transaction,
 }
 
 /// Rows of the gateway's own table.
@@ -171,7 +173,8 @@
     pub order: Call<Order, Acceptance>,
     /// Stops a stream and copies its state to another endpoint.
     pub transfer: Call<Transfer, State>,
-    pub progress: Call<Progress, ()>,
+    /// Reports the progress of a roll-out.
+    pub progress: Call<Progress, Outcome>,
 }
 
 impl Platform {
--- /dev/null
+++ b/src/gateway/rollout.rs
@@ -0,0 +1,143 @@
+//! Records of roll-outs in the store.
+//!
+//! What the operators read about a roll-out and what nodes remember of it are written in one transaction, on
+//! condition that the record hasn't changed. So an outcome that operators have read holds after a loss of all
+//! nodes, and two holders of the duties can't report different outcomes. See `docs/platform.md`,
+//! "Rules that decide the code".
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::clock;
+use crate::gateway::node::Node;
+use crate::gateway::platform::{Phase, Progress};
+use crate::gateway::version::Version;
+use crate::platform::{Failure, Outcome, Row, Transaction};
+
+/// Key prefix of the records; the name of the service follows.
+const KEY_PREFIX: &str = "rollout/";
+/// Delay after a read that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Recorded state of the newest roll-out of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Version of the operators' declaration in the store.
+    pub revision: Version,
+    /// Software version that the roll-out introduces.
+    pub version: Arc<str>,
+    pub phase: Phase,
+}
+
+/// Record of a service with the version of its row.
+type Stored = (u64, Record);
+
+/// Reads the records by service and adopts those of known roll-outs.
+async fn read(node: &Node) -> Result<HashMap<Arc<str>, Stored>, Failure> {
+    let awaited = node.shifts.borrow().awaited_records();
+    let rows = (node.platform.rows)(KEY_PREFIX.to_owned()).await?;
+    let record = |row: Row| {
+        let service = row.key.strip_prefix(KEY_PREFIX)?.into();
+        let record = Record::deserialize(&row.value).inspect_err(|error| {
+            log::error!("rollout: event=bad_record key={} error=\"{error}\"", row.key);
+        });
+        Some((service, (row.version, record.ok()?)))
+    };
+    let records: HashMap<Arc<str>, Stored> = rows.rows.into_iter().filter_map(record).collect();
+    node.shifts
+        .borrow_mut()
+        .adopt_records(&awaited, |service| records.get(service).map(|(_, record)| record));
+    Ok(records)
+}
+
+/// Reads the record of each roll-out that this node has learned of from its declaration, until the process ends.
+/// Until then the new version gets no requests, since the roll-out may have been reverted before this node started.
+pub async fn watch_records(node: Rc<Node>) {
+    loop {
+        while !node.shifts.borrow().awaited_records().is_empty() {
+            if let Err(failure) = read(&node).await {
+                log::info!("rollout: event=records_unread reason=\"{failure}\"");
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+        node.rollout_declared.notified().await;
+    }
+}
+
+/// Writes the records, and with each what operators read, while this node holds the duties lease.
+#[derive(Debug, Default)]
+pub struct Reporter {
+    /// Fencing number and era of the store for which the records were read.
+    read_for: Option<(u64, Option<u64>)>,
+    stored: HashMap<Arc<str>, Stored>,
+}
+
+impl Reporter {
+    /// Records each phase that has changed. `grant` returns the fencing number while the lease allows a call.
+    pub async fn step(&mut self, node: &Node, grant: impl Fn() -> Option<u64>) {
+        let Some(fence) = grant() else { return };
+        let state = (fence, node.store_era.get());
+        if self.read_for != Some(state) {
+            match read(node).await {
+                Ok(records) => self.stored = records,
+                Err(failure) => {
+                    log::info!("rollout: event=records_unread reason=\"{failure}\"");
+                    return;
+                }
+            }
+            self.read_for = Some(state);
+        }
+        for (service, record) in due_records(node) {
+            let stored = self.stored.get(&service);
+            let is_known = stored.is_some_and(|(_, it)| *it == record);
+            let is_outdated = stored.is_some_and(|(_, it)| it.revision > record.revision);
+            if !is_known && !is_outdated && grant() == Some(fence) {
+                self.write(node, service, record).await;
+            }
+        }
+    }
+
+    async fn write(&mut self, node: &Node, service: Arc<str>, record: Record) {
+        let value = match serde_json::to_value(&record) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!("rollout: event=encode_failed error=\"{error}\"");
+                return;
+            }
+        };
+        let mut transaction = Transaction::default();
+        let row_version = self.stored.get(&service).map(|(version, _)| *version);
+        transaction.put(&format!("{KEY_PREFIX}{service}"), row_version, value);
+        let Record { version, phase, .. } = record.clone();
+        let progress = Progress { service: service.clone(), version, phase, transaction };
+        match (node.platform.progress)(progress).await {
+            Ok(Outcome::Done(row_version)) => {
+                log::info!("rollout: event=phase service={service} phase={phase:?}");
+                node.shifts.borrow_mut().apply_phase(&service, record.revision, phase);
+                self.stored.insert(service, (row_version, record));
+            }
+            outcome => {
+                log::warn!(
+                    "rollout: event=phase_untold service={service} phase={phase:?} outcome={outcome:?}"
+                );
+                // Unless the store did nothing, another node has written the record, or this write may still take
+                // effect. What is stored decides.
+                if !matches!(outcome, Ok(Outcome::NotRun)) {
+                    self.read_for = None;
+                }
+            }
+        }
+    }
+}
+
+/// Returns the records of all roll-outs as this node would write them now.
+fn due_records(node: &Node) -> Vec<(Arc<str>, Record)> {
+    let phases = node.shifts.borrow().phases(clock::now());
+    let record =
+        |(service, version, revision, phase)| (service, Record { revision, version, phase });
+    phases.into_iter().map(record).collect()
+}
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -4,7 +4,7 @@
 //! of the time limit, each node reverts it based on its own responses and those that peers report,
 //! and the rest of the traffic follows only close to the deadline.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
+use crate::gateway::rollout::Record;
 use crate::gateway::usage::DOMAIN_START;
 use crate::gateway::verdict::{Analysis, Conditions, Evidence, Excess, Sample, Stage};
 use crate::gateway::version::Version;
@@ -138,6 +139,8 @@
     /// Evidence of the peers by name and start. It stays when a peer is lost.
     peers: HashMap<(Arc<str>, u64), PeerEvidence>,
     phase: Phase,
+    /// Whether `phase` ends the roll-out and operators have read it. It then never changes.
+    is_recorded: bool,
     stage: Stage,
     canary_share: f64,
     /// Whether `canary_share` fits the request rate. It is set once, so that the conditions of a stage stay
@@ -324,11 +327,13 @@
         self.elapsed(now).as_secs_f64() / self.time_limit.as_secs_f64().max(0.001)
     }
 
+    /// Adopts the phase that a peer reports. A peer may revert a roll-out before that is recorded, but completes
+    /// it only with the record.
     fn apply_reported_phase(&mut self, report: &Report) {
-        if report.reverted {
-            self.apply_phase(Phase::Reverted);
-        } else if report.completed {
-            self.apply_phase(Phase::Completed);
+        if report.completed {
+            self.apply_recorded_phase(Phase::Completed);
+        } else if report.reverted && self.phase == Phase::InProgress {
+            self.phase = Phase::Reverted;
         }
     }
 
@@ -342,14 +347,19 @@
         self.prior_elapsed += elapsed.saturating_sub(self.elapsed(now));
     }
 
-    /// Adopts a phase that another node found or that was reported to the platform. A reverted
-    /// roll-out stays reverted unless it is reported as completed, since the platform then stops
-    /// the endpoints of the old version.
-    fn apply_phase(&mut self, phase: Phase) {
-        if self.phase == Phase::InProgress || phase == Phase::Completed {
-            self.phase = phase;
+    /// Adopts a recorded phase. An end of the roll-out that operators have read holds, whatever this node has
+    /// decided: the platform stops the endpoints of one version at once.
+    fn apply_recorded_phase(&mut self, phase: Phase) {
+        if phase != Phase::InProgress && !self.is_recorded {
+            (self.phase, self.is_recorded) = (phase, true);
         }
     }
+
+    /// Returns whether a record is of this roll-out. A declaration that was read again after a restore of the store
+    /// has another era.
+    fn is_recorded_by(&self, record: &Record) -> bool {
+        record.revision.number == self.revision.number && record.version == self.version
+    }
 }
 
 /// Version of a service that is selected for a request.
@@ -381,6 +391,8 @@
     shifts: HashMap<Arc<str>, Shift>,
     /// Reports restored from the store before the declarations were read, with the restore time.
     restored: HashMap<Arc<str>, (Report, Duration)>,
+    /// Services whose roll-out was declared and whose record has not been read since.
+    unread: HashSet<Arc<str>>,
     judgments: Vec<Judgment>,
 }
 
@@ -390,7 +402,7 @@
     }
 
     /// Starts a roll-out that an operator has declared, unless its revision or a later one is
-    /// known.
+    /// known; returns whether it was started.
     pub fn start(
         &mut self,
         service: Arc<str>,
@@ -398,11 +410,11 @@
         time_limit: Duration,
         revision: Version,
         now: Duration,
-    ) {
+    ) -> bool {
         let mut earlier = Vec::new();
         if let Some(shift) = self.shifts.get_mut(&service) {
             if shift.revision >= revision || shift.find_again(&version, time_limit, revision, now) {
-                return;
+                return false;
             }
             earlier = std::mem::take(&mut shift.earlier);
             earlier.push((shift.revision.number, shift.version.clone(), shift.time_limit));
@@ -419,6 +431,7 @@
             own: Evidence::default(),
             peers: HashMap::new(),
             phase: Phase::InProgress,
+            is_recorded: false,
             stage: Stage::Canary,
             canary_share: MIN_CANARY_SHARE,
             is_share_set: false,
@@ -432,6 +445,32 @@
             shift.apply_reported_phase(&report);
         }
         self.shifts.insert(service, shift);
+        true
+    }
+
+    /// Gives the new version of a service no requests until the record of its roll-out has been read.
+    pub fn await_record(&mut self, service: &Arc<str>) {
+        self.unread.insert(service.clone());
+    }
+
+    /// Returns the services whose records have to be read.
+    pub fn awaited_records(&self) -> HashSet<Arc<str>> {
+        self.unread.clone()
+    }
+
+    /// Adopts the records of all known roll-outs. `awaited` are the services that were awaited when the read was
+    /// sent; `find` returns the record of a service.
+    pub fn adopt_records<'a>(
+        &mut self,
+        awaited: &HashSet<Arc<str>>,
+        find: impl Fn(&str) -> Option<&'a Record>,
+    ) {
+        for (service, shift) in &mut self.shifts {
+            if let Some(record) = find(service).filter(|record| shift.is_recorded_by(record)) {
+                shift.apply_recorded_phase(record.phase);
+            }
+        }
+        self.unread.retain(|service| !awaited.contains(service));
     }
 
     /// Selects the version for a request by its hash; returns `None` if no roll-out of the service
@@ -442,6 +481,7 @@
         let selects_new = match shift.phase {
             Phase::Completed => true,
             Phase::Reverted => false,
+            Phase::InProgress if self.unread.contains(service) => false,
             Phase::InProgress => {
                 let position = xxh3::xxh3_64_with_seed(&hash.to_le_bytes(), shift.revision.number);
                 (position as f64 / u64::MAX as f64) < shift.share()
@@ -483,22 +523,27 @@
         }
     }
 
-    /// Applies a phase that has been reported to the platform, if the revision matches.
+    /// Applies a phase that has been recorded, if the revision matches.
     pub fn apply_phase(&mut self, service: &str, revision: Version, phase: Phase) {
         if let Some(shift) = self.shifts.get_mut(service)
             && shift.revision == revision
         {
-            shift.apply_phase(phase);
+            shift.apply_recorded_phase(phase);
         }
     }
 
-    /// Returns service, version, revision and phase of each roll-out; a phase that ends the roll-out
-    /// takes effect with `apply_phase`.
+    /// Returns service, version, revision and phase of each roll-out whose record is known; a phase that ends the
+    /// roll-out takes effect with `apply_phase`.
     pub fn phases(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>, Version, Phase)> {
         let entry = |(service, shift): (&Arc<str>, &Shift)| {
-            (service.clone(), shift.version.clone(), shift.revision, shift.decide_phase(now))
+            let phase = shift.decide_phase(now);
+            (service.clone(), shift.version.clone(), shift.revision, phase)
         };
-        self.shifts.iter().map(entry).collect()
+        self.shifts
+            .iter()
+            .filter(|(service, _)| !self.unread.contains(*service))
+            .map(entry)
+            .collect()
     }
 
     /// Returns the reports on all roll-outs for the peers and for nodes that start later.
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pomelolink::gateway::platform::Phase;
+use pomelolink::gateway::rollout::Record;
 use pomelolink::gateway::shift::Shifts;
 use pomelolink::gateway::verdict::{Conditions, Sample};
 use pomelolink::gateway::version::Version;
@@ -205,3 +206,45 @@
     let reverted = (0..200).filter(is_reverted).count();
     assert!(reverted <= 2, "{reverted} of 200 good versions were reverted");
 }
+
+/// Guards against an operator who reads `reverted` and then `completed`, or the reverse: a recorded outcome holds,
+/// whatever another node decides or reports later.
+#[test]
+fn recorded_outcome_is_final() {
+    let start = Duration::from_secs(100);
+    let revision = Version::new(0, 7);
+    let outcomes = [(Phase::Reverted, Phase::Completed), (Phase::Completed, Phase::Reverted)];
+    for (recorded, reported) in outcomes {
+        let (mut node, mut peer) = (Shifts::default(), Shifts::default());
+        for shifts in [&mut node, &mut peer] {
+            shifts.start("s".into(), "v2".into(), TIME_LIMIT, revision, start);
+        }
+        let record = Record { revision, version: "v2".into(), phase: recorded };
+        node.adopt_records(&node.awaited_records(), |_| Some(&record));
+        peer.apply_phase("s", revision, reported);
+        node.merge_peer(&Arc::from("n1"), 1, peer.reports(start), start);
+        node.apply_phase("s", revision, reported);
+        assert_eq!(node.phases(start)[0].3, recorded);
+    }
+}
+
+/// Guards against requests to a version that was reverted before this node started: it knows the declaration, and
+/// not yet the record.
+#[test]
+fn unknown_record_keeps_new_version_out() {
+    let start = Duration::from_secs(100);
+    let mut shifts = Shifts::default();
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
+    shifts.await_record(&"s".into());
+    let selects_new = |shifts: &Shifts| {
+        let is_new = |hash| shifts.select("s", hash).expect("a roll-out").admits("v2");
+        (0..1_000).any(is_new)
+    };
+    assert!(!selects_new(&shifts));
+    assert!(shifts.phases(start).is_empty(), "a phase is reported without the record");
+    // A read that was sent before the declaration was known tells nothing.
+    shifts.adopt_records(&Default::default(), |_| None);
+    assert!(!selects_new(&shifts));
+    shifts.adopt_records(&shifts.awaited_records(), |_| None);
+    assert!(selects_new(&shifts));
+}
