Complete no version whose endpoints have all left

Seen by callers: a roll-out is completed by the responses from before its new version's last endpoint left.

Cause: decide_phase asks only for good responses.

Change: a version is completed only while one of its endpoints is listed; at the end of the time limit it is taken back.

Evidence: version_without_endpoints_is_reverted fails without the condition (Completed at 0.96 of the time limit without an endpoint) and passes with it.

--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -136,7 +136,11 @@
 
 /// Returns the records of all roll-outs as this node would write them now.
 fn due_records(node: &Node) -> Vec<(Arc<str>, Record)> {
-    let phases = node.shifts.borrow().phases(clock::now());
+    let roster = node.roster.borrow();
+    let has_endpoint = |service: &str, version: &str| {
+        roster.for_service(service).any(|it| it.is_listed() && *it.endpoint.version == *version)
+    };
+    let phases = node.shifts.borrow().phases(clock::now(), has_endpoint);
     let record =
         |(service, version, revision, phase)| (service, Record { revision, version, phase });
     phases.into_iter().map(record).collect()
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -307,8 +307,8 @@
     }
 
     /// Returns the phase that this node decides on. A version that has not proved itself within the time
-    /// limit is taken back.
-    fn decide_phase(&self, now: Duration) -> Phase {
+    /// limit, or of which no endpoint is left then, is taken back.
+    fn decide_phase(&self, has_endpoint: bool, now: Duration) -> Phase {
         let fraction = self.elapsed_fraction(now);
         if self.phase != Phase::InProgress || fraction < COMPLETION_START {
             return self.phase;
@@ -316,7 +316,7 @@
         let has_enough_responses = self.total_evidence().good_responses() >= MIN_GOOD_RESPONSES;
         // A node that has just started doesn't know the evidence of its peers.
         let is_late = fraction >= 1.0 && now.saturating_sub(self.read_at) >= EVIDENCE_TIME;
-        match (has_enough_responses, is_late) {
+        match (has_enough_responses && has_endpoint, is_late) {
             (true, _) => Phase::Completed,
             (false, true) => Phase::Reverted,
             (false, false) => Phase::InProgress,
@@ -533,10 +533,15 @@
     }
 
     /// Returns service, version, revision and phase of each roll-out whose record is known; a phase that ends the
-    /// roll-out takes effect with `apply_phase`.
-    pub fn phases(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>, Version, Phase)> {
+    /// roll-out takes effect with `apply_phase`. `has_endpoint` returns whether an endpoint of a service and version
+    /// takes requests.
+    pub fn phases(
+        &self,
+        now: Duration,
+        has_endpoint: impl Fn(&str, &str) -> bool,
+    ) -> Vec<(Arc<str>, Arc<str>, Version, Phase)> {
         let entry = |(service, shift): (&Arc<str>, &Shift)| {
-            let phase = shift.decide_phase(now);
+            let phase = shift.decide_phase(has_endpoint(service, &shift.version), now);
             (service.clone(), shift.version.clone(), shift.revision, phase)
         };
         self.shifts
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -45,11 +45,11 @@
         let sample = if is_good_answer { Sample::Start(1.0) } else { Sample::Failed };
         shifts.record("s", version, Conditions::new(selection.stage, "r"), sample);
         shifts.judge(start + elapsed);
-        for (service, _, revision, phase) in shifts.phases(start + elapsed) {
+        for (service, _, revision, phase) in shifts.phases(start + elapsed, |_, _| true) {
             shifts.apply_phase(&service, revision, phase);
         }
     }
-    let phases = shifts.phases(start + TIME_LIMIT);
+    let phases = shifts.phases(start + TIME_LIMIT, |_, _| true);
     (new as f64 / total as f64, phases[0].3)
 }
 
@@ -90,9 +90,13 @@
         record(&mut node, "v2", false, start);
     }
     peer.merge_peer(&Arc::from("n1"), 1, node.reports(start), start);
-    assert_eq!(peer.phases(start)[0].3, Phase::Reverted);
+    assert_eq!(peer.phases(start, |_, _| true)[0].3, Phase::Reverted);
     peer.update_stages(start + TIME_LIMIT);
-    assert_eq!(peer.phases(start + TIME_LIMIT)[0].3, Phase::Reverted, "a revert is final");
+    assert_eq!(
+        peer.phases(start + TIME_LIMIT, |_, _| true)[0].3,
+        Phase::Reverted,
+        "a revert is final"
+    );
 }
 
 /// Guards against a node that refuses every request: it has reverted the roll-out while a peer has
@@ -137,7 +141,7 @@
     let later = start + TIME_LIMIT.mul_f64(0.7);
     restarted.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), later);
     restarted.merge_peer(&Arc::from("n1"), 1, node.reports(later), later);
-    let phases = restarted.phases(start + TIME_LIMIT.mul_f64(0.96));
+    let phases = restarted.phases(start + TIME_LIMIT.mul_f64(0.96), |_, _| true);
     assert_eq!(phases[0].3, Phase::Completed);
 }
 
@@ -161,7 +165,8 @@
     for _ in 0..20 {
         record(&mut restarted, "v2", true, boot);
     }
-    let phase = |fraction: f64| restarted.phases(boot + TIME_LIMIT.mul_f64(fraction))[0].3;
+    let phase =
+        |fraction: f64| restarted.phases(boot + TIME_LIMIT.mul_f64(fraction), |_, _| true)[0].3;
     assert_eq!((phase(0.2), phase(0.26)), (Phase::InProgress, Phase::Completed));
 }
 
@@ -179,7 +184,7 @@
             let is_bad = random.random_bool(if is_new { 0.3 } else { 0.14 });
             bad += u32::from(is_new && is_bad);
             record(&mut shifts, if is_new { "v2" } else { "v1" }, !is_bad, Duration::ZERO);
-            if shifts.phases(Duration::ZERO)[0].3 == Phase::Reverted {
+            if shifts.phases(Duration::ZERO, |_, _| true)[0].3 == Phase::Reverted {
                 break;
             }
         }
@@ -201,7 +206,7 @@
             let version = if answer % 12 == 0 { "v2" } else { "v1" };
             record(&mut shifts, version, !random.random_bool(0.125), Duration::ZERO);
         }
-        shifts.phases(Duration::ZERO)[0].3 == Phase::Reverted
+        shifts.phases(Duration::ZERO, |_, _| true)[0].3 == Phase::Reverted
     };
     let reverted = (0..200).filter(is_reverted).count();
     assert!(reverted <= 2, "{reverted} of 200 good versions were reverted");
@@ -224,7 +229,7 @@
         peer.apply_phase("s", revision, reported);
         node.merge_peer(&Arc::from("n1"), 1, peer.reports(start), start);
         node.apply_phase("s", revision, reported);
-        assert_eq!(node.phases(start)[0].3, recorded);
+        assert_eq!(node.phases(start, |_, _| true)[0].3, recorded);
     }
 }
 
@@ -241,10 +246,26 @@
         (0..1_000).any(is_new)
     };
     assert!(!selects_new(&shifts));
-    assert!(shifts.phases(start).is_empty(), "a phase is reported without the record");
+    assert!(shifts.phases(start, |_, _| true).is_empty(), "a phase is reported without the record");
     // A read that was sent before the declaration was known tells nothing.
     shifts.adopt_records(&Default::default(), |_| None);
     assert!(!selects_new(&shifts));
     shifts.adopt_records(&shifts.awaited_records(), |_| None);
     assert!(selects_new(&shifts));
 }
+
+/// Guards against the completion of a version whose endpoints have all left: the platform then stops the old ones.
+#[test]
+fn version_without_endpoints_is_reverted() {
+    let start = Duration::from_secs(100);
+    let mut shifts = Shifts::default();
+    shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), start);
+    for _ in 0..20 {
+        record(&mut shifts, "v2", true, start);
+    }
+    let phase = |fraction: f64, has_endpoint| {
+        shifts.phases(start + TIME_LIMIT.mul_f64(fraction), |_, _| has_endpoint)[0].3
+    };
+    assert_eq!(phase(0.96, true), Phase::Completed);
+    assert_eq!((phase(0.96, false), phase(1.01, false)), (Phase::InProgress, Phase::Reverted));
+}
--- a/tests/slow_versions.rs
+++ b/tests/slow_versions.rs
@@ -119,7 +119,7 @@
             node.judge(now);
         }
         let is_store_down = play.trouble == Trouble::StoreDown && tick < ticks - 2;
-        let (service, _, revision, phase) = nodes[0].phases(now).remove(0);
+        let (service, _, revision, phase) = nodes[0].phases(now, |_, _| true).remove(0);
         if !is_store_down {
             nodes[0].apply_phase(&service, revision, phase);
         }
@@ -130,7 +130,7 @@
             request(&mut nodes[node], play, trouble, &mut random, &mut outcome);
         }
     }
-    outcome.phase = nodes[0].phases(start + play.time_limit)[0].3;
+    outcome.phase = nodes[0].phases(start + play.time_limit, |_, _| true)[0].3;
     outcome
 }
 
@@ -247,7 +247,7 @@
     let now = Duration::from_secs(100);
     let mut shifts = Shifts::new(EXPOSURE);
     shifts.start("s".into(), "v2".into(), TIME_LIMIT, Version::new(0, 7), now);
-    let phase = |elapsed: f64| shifts.phases(now + TIME_LIMIT.mul_f64(elapsed))[0].3;
+    let phase = |elapsed: f64| shifts.phases(now + TIME_LIMIT.mul_f64(elapsed), |_, _| true)[0].3;
     assert_eq!((phase(0.99), phase(1.01)), (Phase::InProgress, Phase::Reverted));
 }
 
@@ -364,9 +364,9 @@
     record(&mut shifts, "v2", Stage::Full, 20.0, 8);
     shifts.judge(at(0.9));
     shifts.update_stages(at(0.9));
-    assert_eq!(shifts.phases(at(0.9))[0].3, Phase::InProgress);
+    assert_eq!(shifts.phases(at(0.9), |_, _| true)[0].3, Phase::InProgress);
     shifts.update_stages(at(0.96));
-    assert_eq!(shifts.phases(at(0.96))[0].3, Phase::Reverted);
+    assert_eq!(shifts.phases(at(0.96), |_, _| true)[0].3, Phase::Reverted);
 }
 
 /// Guards against a slow version that stays in force because the node that saw its answers is lost.
@@ -384,5 +384,5 @@
     }
     node.merge_peer(&Arc::from("lost"), 1, lost.reports(now), now);
     node.judge(now + TIME_LIMIT / 2);
-    assert_eq!(node.phases(now)[0].3, Phase::Reverted);
+    assert_eq!(node.phases(now, |_, _| true)[0].3, Phase::Reverted);
 }
