Don't take a stream stopped for a handover for complete

Cause: the endpoint stops the stream because the node has asked it to. When the copy of the state then fails, the end of the connection was taken for the end of the stream, since the handover dropped the reason of its failure.

Change: a handover says whether the stream is stopped, is not, or may be. In the last case the end of an answer without a length is a broken stream. An endpoint that runs no such stream (404) or was never asked leaves its end as it is.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -466,7 +466,7 @@
 }
 
 /// Returns whether the end of a response is marked in the response itself.
-fn is_framed(headers: &HeaderMap) -> bool {
+pub fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -13,7 +13,8 @@
 use crate::gateway::handle::Context;
 use crate::gateway::node::Node;
 use crate::gateway::place::{self, Placement};
-use crate::gateway::platform::{State, Transfer};
+use crate::gateway::platform::{State, Stop, Transfer};
+use crate::platform::Failure;
 
 /// Time before the end of an endpoint at which its streams are handed over. The state copies share
 /// one network link, and each takes some tens of milliseconds.
@@ -42,16 +43,25 @@
     pub state: State,
 }
 
-/// Stops a stream and copies its state to another endpoint.
-///
-/// Returns `None` if no endpoint has room for it now or the transfer fails; the stream then
-/// continues where it is or breaks.
+/// Result of an attempt to hand a stream over.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The stream is stopped, and its state is kept.
+    Stopped(Box<Handover>),
+    /// The endpoint was not asked to stop the stream, or the stream had ended by itself.
+    NotStopped,
+    /// The endpoint may have stopped the stream. The end of its events is then not the end of the stream.
+    Unknown,
+}
+
+/// Stops a stream and copies its state to another endpoint, if one has room for it now.
 pub async fn transfer(
     node: Rc<Node>,
     context: Rc<Context>,
     from: crate::gateway::platform::Endpoint,
-) -> Option<Handover> {
-    let placement = place::try_acquire(&node, &context, std::slice::from_ref(&from.id))?;
+) -> Attempt {
+    let placement = place::try_acquire(&node, &context, std::slice::from_ref(&from.id));
+    let Some(placement) = placement else { return Attempt::NotStopped };
     let started_at = clock::now();
     let transfer = Transfer {
         id: context.metadata.id.clone(),
@@ -68,7 +78,13 @@
         from.id,
         placement.endpoint.id
     );
+    let attempt = match result {
+        Ok(Stop::Stopped(state)) => Attempt::Stopped(Box::new(Handover { placement, state })),
+        Ok(Stop::NotRunning) | Err(Failure::NotRun(_)) => Attempt::NotStopped,
+        Err(Failure::Unknown(_)) => Attempt::Unknown,
+    };
+    let is_moved = matches!(attempt, Attempt::Stopped(_));
     node.metrics
-        .record_outcome(&context.route.name, if result.is_ok() { "moved" } else { "move_failed" });
-    Some(Handover { placement, state: result.ok()? })
+        .record_outcome(&context.route.name, if is_moved { "moved" } else { "move_failed" });
+    attempt
 }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -137,6 +137,15 @@
     pub is_copied: bool,
 }
 
+/// Response of an endpoint to a [`Transfer`].
+#[derive(Debug, Clone)]
+pub enum Stop {
+    /// The stream is stopped.
+    Stopped(State),
+    /// The endpoint runs no such stream: it has ended by itself.
+    NotRunning,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     InProgress,
@@ -172,7 +181,7 @@
     pub usage: Call<Usage, Acceptance>,
     pub order: Call<Order, Acceptance>,
     /// Stops a stream and copies its state to another endpoint.
-    pub transfer: Call<Transfer, State>,
+    pub transfer: Call<Transfer, Stop>,
     /// Reports the progress of a roll-out.
     pub progress: Call<Progress, Outcome>,
 }
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -32,7 +32,7 @@
 const UNSET_DELAY: Duration = Duration::from_secs(86_400);
 
 type EventSender = mpsc::Sender<Result<Bytes, Aborted>>;
-type PendingHandover = Pin<Box<dyn Future<Output = Option<Handover>>>>;
+type PendingHandover = Pin<Box<dyn Future<Output = handover::Attempt>>>;
 
 /// Reason why the events from one endpoint ended.
 enum End {
@@ -192,6 +192,7 @@
     let mut departures = node.departures.subscribe();
     let mut handover_timer = Box::pin(sleep(UNSET_DELAY));
     let mut pending: Option<PendingHandover> = None;
+    let mut may_be_stopped = false;
     let mut pace = Pace::new(stream);
     let mut has_started = false;
     let can_hand_over = supports_handover(node, context);
@@ -224,9 +225,16 @@
                 pending = Some(Box::pin(handover::transfer(node.clone(), context.clone(), from)));
                 continue;
             }
-            handover = handover_result(&mut pending) => {
-                let Some(handover) = handover else { pending = None; continue };
-                return forward_remaining(stream, sender, handover).await;
+            attempt = handover_result(&mut pending) => {
+                pending = None;
+                match attempt {
+                    handover::Attempt::Stopped(handover) => {
+                        return forward_remaining(stream, sender, handover).await;
+                    }
+                    handover::Attempt::NotStopped => {}
+                    handover::Attempt::Unknown => may_be_stopped = true,
+                }
+                continue;
             }
         };
         match frame {
@@ -245,13 +253,15 @@
             ended if pending.is_some() => {
                 // The endpoint stopped the stream for the handover, or it ended before that.
                 match handover_result(&mut pending).await {
-                    Some(handover) => return End::Handover(Box::new(handover)),
-                    None => return classify_end(stream, ended.map(|frame| frame.map(drop))),
+                    handover::Attempt::Stopped(handover) => return End::Handover(handover),
+                    handover::Attempt::NotStopped => {}
+                    handover::Attempt::Unknown => may_be_stopped = true,
                 }
+                return classify_end(stream, ended.map(|frame| frame.map(drop)), may_be_stopped);
             }
             ended => {
                 pace.record_events(stream, 1);
-                let end = classify_end(stream, ended.map(|frame| frame.map(drop)));
+                let end = classify_end(stream, ended.map(|frame| frame.map(drop)), may_be_stopped);
                 if !has_started && matches!(end, End::Complete) {
                     crash::record_start(node, context);
                 }
@@ -262,8 +272,18 @@
 }
 
 /// Classifies the end of a stream; `last_frame` is `None` when the endpoint completed its response.
-fn classify_end(stream: &mut Stream, last_frame: Option<Result<(), hyper::Error>>) -> End {
+///
+/// A response without a length ends with its connection. If the endpoint may have stopped the stream for a handover,
+/// that is no sign that the stream is complete.
+fn classify_end(
+    stream: &mut Stream,
+    last_frame: Option<Result<(), hyper::Error>>,
+    may_be_stopped: bool,
+) -> End {
     match last_frame {
+        None if may_be_stopped && !forward::is_framed(stream.response.headers()) => {
+            End::Broken("the endpoint may have stopped the stream for a handover".to_owned())
+        }
         None if stream.splitter.is_at_event_boundary() => {
             stream.guard.release();
             End::Complete
@@ -280,7 +300,7 @@
 }
 
 /// Waits for the result of a handover; never returns if none is in progress.
-async fn handover_result(pending: &mut Option<PendingHandover>) -> Option<Handover> {
+async fn handover_result(pending: &mut Option<PendingHandover>) -> handover::Attempt {
     match pending {
         Some(pending) => pending.await,
         None => std::future::pending().await,
@@ -288,7 +308,11 @@
 }
 
 /// Forwards the remaining events of a stream that was stopped for a handover.
-async fn forward_remaining(stream: &mut Stream, sender: &EventSender, handover: Handover) -> End {
+async fn forward_remaining(
+    stream: &mut Stream,
+    sender: &EventSender,
+    handover: Box<Handover>,
+) -> End {
     let forward = async {
         while let Some(Ok(frame)) = stream.body.frame().await {
             let Ok(data) = frame.into_data() else { continue };
@@ -302,7 +326,7 @@
     match timeout(REMAINING_EVENTS_TIMEOUT, forward).await {
         Ok(false) => End::CallerGone,
         // Events that have not arrived by now are generated again from the state.
-        Ok(true) | Err(_) => End::Handover(Box::new(handover)),
+        Ok(true) | Err(_) => End::Handover(handover),
     }
 }
 
