Keep versions out that were ordered and not completed

Cause: Selection::admits counted every version but the new one as old. The next order replaced what was known of the one before.

Change: a version that was ordered and not completed when the next order came is rejected until it is ordered again: no requests, also as a fallback, no evidence as the old version, no capacity. Peers tell it, and the record of the roll-out holds it for nodes that start.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -413,10 +413,7 @@
             let endpoint = &entry.endpoint;
             let load = balancer.total_load(&endpoint.id);
             snapshot.requests += load.requests;
-            let is_other_version = rollout.is_some_and(|(version, phase)| {
-                (endpoint.version == *version) != (phase == Phase::Completed)
-            });
-            if is_other_version {
+            if !shifts.is_serving(&service.name, &endpoint.version) {
                 let kind = (endpoint.domain.clone(), endpoint.reclaimable);
                 *other_counts.entry(kind).or_default() += 1;
             } else {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -43,9 +43,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 13;
+const HEARTBEAT_FORMAT: u8 = 15;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 14;
+const DIGEST_FORMAT: u8 = 16;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -463,11 +463,12 @@
             .collect();
     }
     if entries.is_empty()
-        && version_selection.as_ref().is_some_and(|selection| selection.allows_fallback())
+        && let Some(selection) = version_selection.as_ref().filter(|it| it.allows_fallback())
     {
-        let others = roster
-            .for_service(&context.service)
-            .filter(|entry| !tried.contains(&entry.endpoint.id));
+        let others = roster.for_service(&context.service).filter(|entry| {
+            let endpoint = &entry.endpoint;
+            !tried.contains(&endpoint.id) && !selection.is_rejected(&endpoint.version)
+        });
         entries = others.filter(|entry| entry.is_listed()).collect();
     }
     if entries.is_empty() {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -31,6 +31,9 @@
     /// Software version that the roll-out introduces.
     pub version: Arc<str>,
     pub phase: Phase,
+    /// Versions that earlier roll-outs have introduced without completing. They get no requests.
+    #[serde(default)]
+    pub rejected: Vec<Arc<str>>,
 }
 
 /// Record of a service with the version of its row.
@@ -140,8 +143,5 @@
     let has_endpoint = |service: &str, version: &str| {
         roster.for_service(service).any(|it| it.is_listed() && *it.endpoint.version == *version)
     };
-    let phases = node.shifts.borrow().phases(clock::now(), has_endpoint);
-    let record =
-        |(service, version, revision, phase)| (service, Record { revision, version, phase });
-    phases.into_iter().map(record).collect()
+    node.shifts.borrow().records(clock::now(), has_endpoint)
 }
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
@@ -47,6 +48,9 @@
 const REWRITE_TIME: Duration = Duration::from_secs(10);
 /// Most earlier roll-outs of a service that are remembered, to know them in a restored store.
 const MAX_EARLIER: usize = 8;
+/// Most rejected versions of a service that are remembered. The platform removes the endpoints of a version some
+/// seconds after its roll-out.
+const MAX_REJECTED: usize = 16;
 /// Good responses that a version needs before it can get all requests.
 const MIN_GOOD_RESPONSES: u32 = 8;
 
@@ -105,6 +109,9 @@
     completed: bool,
     /// Time since the start of the roll-out.
     elapsed_ms: u64,
+    /// Versions that earlier roll-outs have introduced without completing.
+    #[serde(default)]
+    rejected: Vec<Arc<str>>,
 }
 
 /// Evidence that a peer reported.
@@ -141,6 +148,8 @@
     phase: Phase,
     /// Whether `phase` ends the roll-out and operators have read it. It then never changes.
     is_recorded: bool,
+    /// Versions that earlier roll-outs have introduced without completing.
+    rejected: Vec<Arc<str>>,
     stage: Stage,
     canary_share: f64,
     /// Whether `canary_share` fits the request rate. It is set once, so that the conditions of a stage stay
@@ -182,6 +191,33 @@
             reverted: self.phase == Phase::Reverted,
             completed: self.phase == Phase::Completed,
             elapsed_ms: self.elapsed(now).as_millis() as u64,
+            rejected: self.rejected.clone(),
+        }
+    }
+
+    /// Records versions that earlier roll-outs have introduced without completing. The version of this roll-out is
+    /// not among them, even if it was: it is tried again.
+    fn reject<'a>(&mut self, versions: impl IntoIterator<Item = &'a Arc<str>>) {
+        for version in versions {
+            if *version != self.version && !self.rejected.contains(version) {
+                self.rejected.push(version.clone());
+            }
+        }
+        self.rejected.drain(..self.rejected.len().saturating_sub(MAX_REJECTED));
+    }
+
+    /// Adopts the record of this roll-out or of an earlier one of the service.
+    fn adopt_record(&mut self, record: &Record) {
+        if self.is_recorded_by(record) {
+            self.reject(&record.rejected);
+            self.apply_recorded_phase(record.phase);
+        } else if record.revision < self.revision {
+            self.reject(&record.rejected);
+            match record.phase {
+                // Another node may have completed what this one has seen in progress.
+                Phase::Completed => self.rejected.retain(|version| *version != record.version),
+                Phase::InProgress | Phase::Reverted => self.reject([&record.version]),
+            }
         }
     }
 
@@ -368,21 +404,27 @@
     version: Arc<str>,
     selects_new: bool,
     allows_fallback: bool,
+    rejected: SmallVec<[Arc<str>; 2]>,
     /// Stage of the roll-out in which the version was selected.
     pub stage: Stage,
 }
 
 impl Selection {
     pub fn admits(&self, version: &str) -> bool {
-        (*self.version == *version) == self.selects_new
+        (*self.version == *version) == self.selects_new && !self.is_rejected(version)
     }
 
-    /// Returns whether an endpoint of the other version may serve if none of the selected one is
+    /// Returns whether an endpoint of any version that was not rejected may serve if none of the selected one is
     /// listed, because new endpoints are still starting or old ones have been stopped. A reverted
     /// version never serves.
     pub fn allows_fallback(&self) -> bool {
         self.allows_fallback
     }
+
+    /// Returns whether an earlier roll-out has introduced a version without completing it.
+    pub fn is_rejected(&self, version: &str) -> bool {
+        self.rejected.iter().any(|rejected| **rejected == *version)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -411,11 +453,15 @@
         revision: Version,
         now: Duration,
     ) -> bool {
-        let mut earlier = Vec::new();
+        let (mut earlier, mut rejected) = (Vec::new(), Vec::new());
         if let Some(shift) = self.shifts.get_mut(&service) {
             if shift.revision >= revision || shift.find_again(&version, time_limit, revision, now) {
                 return false;
             }
+            rejected = std::mem::take(&mut shift.rejected);
+            if shift.phase != Phase::Completed {
+                rejected.push(shift.version.clone());
+            }
             earlier = std::mem::take(&mut shift.earlier);
             earlier.push((shift.revision.number, shift.version.clone(), shift.time_limit));
             earlier.drain(..earlier.len().saturating_sub(MAX_EARLIER));
@@ -432,10 +478,12 @@
             peers: HashMap::new(),
             phase: Phase::InProgress,
             is_recorded: false,
+            rejected: Vec::new(),
             stage: Stage::Canary,
             canary_share: MIN_CANARY_SHARE,
             is_share_set: false,
         };
+        shift.reject(&rejected);
         if let Some((report, restored_at)) = self.restored.remove(&service)
             && report.revision.number == revision.number
         {
@@ -466,8 +514,8 @@
         find: impl Fn(&str) -> Option<&'a Record>,
     ) {
         for (service, shift) in &mut self.shifts {
-            if let Some(record) = find(service).filter(|record| shift.is_recorded_by(record)) {
-                shift.apply_recorded_phase(record.phase);
+            if let Some(record) = find(service) {
+                shift.adopt_record(record);
             }
         }
         self.unread.retain(|service| !awaited.contains(service));
@@ -488,7 +536,18 @@
             }
         };
         let allows_fallback = shift.phase != Phase::Reverted;
-        Some(Selection { version, selects_new, allows_fallback, stage: shift.stage })
+        let rejected = shift.rejected.iter().cloned().collect();
+        Some(Selection { version, selects_new, allows_fallback, rejected, stage: shift.stage })
+    }
+
+    /// Returns whether endpoints of a version serve a service outside of its roll-out: the new version once it is
+    /// completed, until then all that were not rejected. Without a roll-out all versions serve.
+    pub fn is_serving(&self, service: &str, version: &str) -> bool {
+        self.shifts.get(service).is_none_or(|shift| {
+            let is_new = *shift.version == *version;
+            let is_rejected = shift.rejected.iter().any(|rejected| **rejected == *version);
+            is_new == (shift.phase == Phase::Completed) && !is_rejected
+        })
     }
 
     /// Returns the new version of a service and the phase of its roll-out.
@@ -499,7 +558,8 @@
     /// Counts a sample of an endpoint's version.
     pub fn record(&mut self, service: &str, version: &str, conditions: Conditions, sample: Sample) {
         let Some(shift) = self.shifts.get_mut(service) else { return };
-        if shift.phase == Phase::InProgress {
+        let is_rejected = shift.rejected.iter().any(|rejected| **rejected == *version);
+        if shift.phase == Phase::InProgress && !is_rejected {
             shift.own.record(conditions, *shift.version == *version, sample);
         }
     }
@@ -551,6 +611,20 @@
             .collect()
     }
 
+    /// Returns service and record of each roll-out whose record is known, as this node would write it now.
+    pub fn records(
+        &self,
+        now: Duration,
+        has_endpoint: impl Fn(&str, &str) -> bool,
+    ) -> Vec<(Arc<str>, Record)> {
+        let record = |(service, version, revision, phase): (Arc<str>, Arc<str>, Version, Phase)| {
+            let rejected = self.shifts.get(&service).map(|shift| shift.rejected.clone());
+            let rejected = rejected.unwrap_or_default();
+            (service, Record { revision, version, phase, rejected })
+        };
+        self.phases(now, has_endpoint).into_iter().map(record).collect()
+    }
+
     /// Returns the reports on all roll-outs for the peers and for nodes that start later.
     pub fn reports(&self, now: Duration) -> Vec<Report> {
         let report = |(service, shift): (&Arc<str>, &Shift)| {
@@ -573,6 +647,8 @@
         let mut reports = self.reports(now);
         for report in &mut reports {
             (report.evidence, report.nodes) = (Evidence::default(), 0);
+            // The record of the roll-out holds them.
+            report.rejected.clear();
         }
         reports
     }
@@ -603,6 +679,7 @@
             }
             shift.adopt_elapsed(&report, now);
             shift.apply_reported_phase(&report);
+            shift.reject(&report.rejected);
             let Report { evidence, nodes, .. } = report;
             let received = PeerEvidence { evidence, nodes, received_at: now };
             shift.peers.insert((peer.clone(), start), received);
--- /dev/null
+++ b/tests/rejected_versions.rs
@@ -0,0 +1,137 @@
+//! Versions that a roll-out has introduced without completing, in the roll-outs after it, without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelolink::gateway::platform::Phase;
+use pomelolink::gateway::rollout::Record;
+use pomelolink::gateway::shift::Shifts;
+use pomelolink::gateway::verdict::{Conditions, Sample};
+use pomelolink::gateway::version::Version;
+
+const START: Duration = Duration::from_secs(100);
+const TIME_LIMIT: Duration = Duration::from_secs(12);
+
+fn order(shifts: &mut Shifts, version: &str, revision: u64) {
+    shifts.start("s".into(), version.into(), TIME_LIMIT, Version::new(0, revision), START);
+}
+
+fn end(shifts: &mut Shifts, revision: u64, phase: Phase) {
+    shifts.apply_phase("s", Version::new(0, revision), phase);
+}
+
+/// Returns how many of 1,000 requests may go to a version.
+fn admitted(shifts: &Shifts, version: &str) -> usize {
+    let admits = |hash: &u64| shifts.select("s", *hash).is_none_or(|it| it.admits(version));
+    (0..1_000).filter(admits).count()
+}
+
+/// Guards against a reverted version that gets its traffic back with the next order.
+#[test]
+fn reverted_version_stays_out() {
+    let mut shifts = Shifts::default();
+    order(&mut shifts, "v2", 7);
+    end(&mut shifts, 7, Phase::Reverted);
+    order(&mut shifts, "v3", 8);
+    assert_eq!(admitted(&shifts, "v2"), 0);
+    assert!(admitted(&shifts, "v1") > 900);
+    end(&mut shifts, 8, Phase::Completed);
+    order(&mut shifts, "v4", 9);
+    assert_eq!(admitted(&shifts, "v2"), 0, "two orders later");
+    assert!(admitted(&shifts, "v3") > 900);
+}
+
+/// Guards against a version that gets most requests since the next order came before its roll-out had ended.
+#[test]
+fn unfinished_version_stays_out() {
+    let mut shifts = Shifts::default();
+    order(&mut shifts, "v2", 7);
+    order(&mut shifts, "v3", 8);
+    assert_eq!(admitted(&shifts, "v2"), 0);
+    assert!(admitted(&shifts, "v1") > 900);
+}
+
+/// Guards against a rejected version that can't be ordered again.
+#[test]
+fn rejected_version_can_be_ordered_again() {
+    let mut shifts = Shifts::default();
+    order(&mut shifts, "v2", 7);
+    end(&mut shifts, 7, Phase::Reverted);
+    order(&mut shifts, "v2", 8);
+    assert!((1..100).contains(&admitted(&shifts, "v2")));
+    end(&mut shifts, 8, Phase::Completed);
+    order(&mut shifts, "v3", 9);
+    assert!(admitted(&shifts, "v2") > 900);
+}
+
+/// Guards against requests to a rejected version on a node that has started since: it knows only the newest order,
+/// and the record of that or of the one before.
+#[test]
+fn started_node_learns_rejected_versions() {
+    let record = |revision, version: &str, phase, rejected: &[&str]| Record {
+        revision: Version::new(0, revision),
+        version: version.into(),
+        phase,
+        rejected: rejected.iter().map(|version| (*version).into()).collect(),
+    };
+    let records = [
+        record(8, "v3", Phase::InProgress, &["v2"]),
+        record(7, "v2", Phase::Reverted, &[]),
+        record(7, "v2", Phase::InProgress, &[]),
+    ];
+    for record in records {
+        let mut shifts = Shifts::default();
+        order(&mut shifts, "v3", 8);
+        shifts.await_record(&"s".into());
+        shifts.adopt_records(&shifts.awaited_records(), |_| Some(&record));
+        assert_eq!(admitted(&shifts, "v2"), 0, "{record:?}");
+        assert!(admitted(&shifts, "v1") > 900, "{record:?}");
+        let recorded = shifts.records(START, |_, _| true);
+        assert_eq!(recorded[0].1.rejected, ["v2".into()], "the next record forgets it");
+    }
+}
+
+/// Guards against a rejected version that a node doesn't know since the order for it was never recorded, though a
+/// peer has seen it.
+#[test]
+fn peers_tell_rejected_versions() {
+    let (mut node, mut peer) = (Shifts::default(), Shifts::default());
+    order(&mut peer, "v2", 7);
+    order(&mut peer, "v3", 8);
+    order(&mut node, "v3", 8);
+    node.merge_peer(&Arc::from("n1"), 1, peer.reports(START), START);
+    assert_eq!(admitted(&node, "v2"), 0);
+}
+
+/// Guards against a completed version that a node keeps out since it was cut off when the roll-out ended.
+#[test]
+fn completed_version_is_not_rejected() {
+    let mut shifts = Shifts::default();
+    order(&mut shifts, "v2", 7);
+    order(&mut shifts, "v3", 8);
+    let record = Record {
+        revision: Version::new(0, 7),
+        version: "v2".into(),
+        phase: Phase::Completed,
+        rejected: Vec::new(),
+    };
+    shifts.adopt_records(&shifts.awaited_records(), |_| Some(&record));
+    assert!(admitted(&shifts, "v2") > 900);
+}
+
+/// Guards against a bad version that is compared with the one rejected before it.
+#[test]
+fn rejected_version_is_no_baseline() {
+    let mut shifts = Shifts::default();
+    order(&mut shifts, "v2", 7);
+    order(&mut shifts, "v3", 8);
+    for answer in 0..400 {
+        let samples = [("v2", Sample::Failed), ("v1", Sample::Start(1.0)), ("v3", Sample::Failed)];
+        let (version, sample) = samples[answer % 3];
+        shifts.record("s", version, Conditions::default(), sample);
+    }
+    shifts.judge(START);
+    assert_eq!(shifts.phases(START, |_, _| true)[0].3, Phase::Reverted);
+    let (new, old) = (shifts.is_serving("s", "v3"), shifts.is_serving("s", "v1"));
+    assert!(old && !new && !shifts.is_serving("s", "v2"), "rejected endpoints count as capacity");
+}
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -224,7 +224,8 @@
         for shifts in [&mut node, &mut peer] {
             shifts.start("s".into(), "v2".into(), TIME_LIMIT, revision, start);
         }
-        let record = Record { revision, version: "v2".into(), phase: recorded };
+        let record =
+            Record { revision, version: "v2".into(), phase: recorded, rejected: Vec::new() };
         node.adopt_records(&node.awaited_records(), |_| Some(&record));
         peer.apply_phase("s", revision, reported);
         node.merge_peer(&Arc::from("n1"), 1, peer.reports(start), start);
