End a stream's way to another endpoint with its caller

Cause: forward_events watches the caller, but nothing does while a stream waits for a slot, a connection or the first event at its next endpoint.

Change: forward_stream waits for the caller and for the whole way to the next endpoint at once. A retry that was charged and not made is returned.

--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -84,7 +84,7 @@
     sender: EventSender,
 ) -> &'static str {
     loop {
-        let resumed = match forward_events(node, context, &mut stream, &sender).await {
+        let handover = match forward_events(node, context, &mut stream, &sender).await {
             End::Complete => return "answered",
             End::CallerGone => {
                 log_event(context, &stream, "caller_gone", "");
@@ -96,14 +96,23 @@
                 let _ = sender.send(Err(Aborted)).await;
                 return "timeout";
             }
-            End::Handover(it) => continue_stream(node, context, &mut history, &stream, *it).await,
+            End::Handover(handover) => Some(*handover),
             End::Broken(reason) => {
                 stream.placement.record_failure();
                 if stream.splitter.event_count < START_EVENTS {
                     crash::investigate(node, context, &stream.placement.endpoint);
                 }
                 log_event(context, &stream, "stream_broken", &reason);
-                resume(node, context, &mut history, &stream).await
+                None
+            }
+        };
+        // Whatever the stream waits for on its way to another endpoint, it waits no longer than its caller.
+        let resumed = tokio::select! {
+            resumed = go_on(node, context, &mut history, &stream, handover) => resumed,
+            () = sender.closed() => {
+                forward::refund_retry(node, context, &mut history);
+                log_event(context, &stream, "caller_gone", "the stream was on its way to another endpoint");
+                return "caller_gone";
             }
         };
         match resumed {
@@ -116,6 +125,20 @@
     }
 }
 
+/// Goes on with a stream at another endpoint: from the state if it was handed over, otherwise after the last event.
+async fn go_on(
+    node: &Rc<Node>,
+    context: &Rc<Context>,
+    history: &mut History,
+    ended_stream: &Stream,
+    handover: Option<Handover>,
+) -> Option<Stream> {
+    match handover {
+        Some(handover) => continue_stream(node, context, history, ended_stream, handover).await,
+        None => resume(node, context, history, ended_stream).await,
+    }
+}
+
 fn log_event(context: &Context, stream: &Stream, event: &str, reason: &str) {
     log::info!(
         "pump: event={event} id={} route={} endpoint={} events={} age_ms={} reason=\"{reason}\"",
