Tell peers which version was completed last

No request is served until the next version is completed.

Cause: nodes exchanged only which versions were not completed, which one node may know wrongly.

Change: records and reports also name the version that was completed last. It takes precedence. rollout::Earlier holds both.

Evidence: missed_completion_rejects_nothing fails without the change (the serving version is admitted for no request) and passes with it.

--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -20,6 +20,9 @@
 
 /// Key prefix of the records; the name of the service follows.
 const KEY_PREFIX: &str = "rollout/";
+/// Most versions that were ordered and not completed that are remembered. The platform removes the endpoints of a
+/// version some seconds after its roll-out.
+const MAX_UNCOMPLETED: usize = 16;
 /// Delay after a read that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -31,9 +34,58 @@
     /// Software version that the roll-out introduces.
     pub version: Arc<str>,
     pub phase: Phase,
-    /// Versions that earlier roll-outs have introduced without completing. They get no requests.
+    /// What earlier roll-outs have left.
     #[serde(default)]
-    pub rejected: Vec<Arc<str>>,
+    pub earlier: Earlier,
+}
+
+/// Versions of a service that roll-outs before the newest one have introduced.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Earlier {
+    /// Version that was completed last, with the revision of its roll-out.
+    completed: Option<(Version, Arc<str>)>,
+    /// Versions that some node knows as ordered and not as completed. A node that was cut off may have missed the
+    /// completion, so that `completed` takes precedence.
+    uncompleted: Vec<Arc<str>>,
+}
+
+impl Earlier {
+    /// Returns whether a version was ordered and not completed. It gets no requests.
+    pub fn is_rejected(&self, version: &str) -> bool {
+        let is_completed = self.completed.as_ref().is_some_and(|(_, it)| **it == *version);
+        !is_completed && self.uncompleted.iter().any(|it| **it == *version)
+    }
+
+    /// Adds the version of a roll-out as it was when the next one came.
+    pub fn add(&mut self, revision: Version, version: &Arc<str>, phase: Phase) {
+        match phase {
+            Phase::Completed => self.complete(revision, version),
+            Phase::InProgress | Phase::Reverted => self.add_uncompleted(version),
+        }
+    }
+
+    /// Adds what another node knows.
+    pub fn merge(&mut self, other: &Earlier) {
+        if let Some((revision, version)) = &other.completed {
+            self.complete(*revision, version);
+        }
+        for version in &other.uncompleted {
+            self.add_uncompleted(version);
+        }
+    }
+
+    fn complete(&mut self, revision: Version, version: &Arc<str>) {
+        if self.completed.as_ref().is_none_or(|(newest, _)| *newest < revision) {
+            self.completed = Some((revision, version.clone()));
+        }
+    }
+
+    fn add_uncompleted(&mut self, version: &Arc<str>) {
+        if !self.uncompleted.contains(version) {
+            self.uncompleted.push(version.clone());
+            self.uncompleted.drain(..self.uncompleted.len().saturating_sub(MAX_UNCOMPLETED));
+        }
+    }
 }
 
 /// Record of a service with the version of its row.
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -9,11 +9,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
 use crate::gateway::platform::Phase;
-use crate::gateway::rollout::Record;
+use crate::gateway::rollout::{Earlier, Record};
 use crate::gateway::usage::DOMAIN_START;
 use crate::gateway::verdict::{Analysis, Conditions, Evidence, Excess, Sample, Stage};
 use crate::gateway::version::Version;
@@ -47,10 +46,7 @@
 /// Time after the store's restore in which the operators' declarations are written again.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
 /// Most earlier roll-outs of a service that are remembered, to know them in a restored store.
-const MAX_EARLIER: usize = 8;
-/// Most rejected versions of a service that are remembered. The platform removes the endpoints of a version some
-/// seconds after its roll-out.
-const MAX_REJECTED: usize = 16;
+const MAX_DECLARED: usize = 8;
 /// Good responses that a version needs before it can get all requests.
 const MIN_GOOD_RESPONSES: u32 = 8;
 
@@ -109,9 +105,9 @@
     completed: bool,
     /// Time since the start of the roll-out.
     elapsed_ms: u64,
-    /// Versions that earlier roll-outs have introduced without completing.
+    /// What earlier roll-outs have left.
     #[serde(default)]
-    rejected: Vec<Arc<str>>,
+    earlier: Earlier,
 }
 
 /// Evidence that a peer reported.
@@ -137,8 +133,8 @@
     read_at: Duration,
     /// Time at which the declaration was last found again after a restore of the store.
     found_again_at: Option<Duration>,
-    /// Earlier roll-outs of the service, by the number of their revision.
-    earlier: Vec<(u64, Arc<str>, Duration)>,
+    /// Declarations of earlier roll-outs of the service, by the number of their revision.
+    declared: Vec<(u64, Arc<str>, Duration)>,
     /// Time for which the roll-out had already run when this node read its declaration.
     prior_elapsed: Duration,
     /// Samples of this node.
@@ -148,8 +144,8 @@
     phase: Phase,
     /// Whether `phase` ends the roll-out and operators have read it. It then never changes.
     is_recorded: bool,
-    /// Versions that earlier roll-outs have introduced without completing.
-    rejected: Vec<Arc<str>>,
+    /// What earlier roll-outs have left.
+    earlier: Earlier,
     stage: Stage,
     canary_share: f64,
     /// Whether `canary_share` fits the request rate. It is set once, so that the conditions of a stage stay
@@ -191,33 +187,24 @@
             reverted: self.phase == Phase::Reverted,
             completed: self.phase == Phase::Completed,
             elapsed_ms: self.elapsed(now).as_millis() as u64,
-            rejected: self.rejected.clone(),
+            earlier: self.earlier.clone(),
         }
     }
 
-    /// Records versions that earlier roll-outs have introduced without completing. The version of this roll-out is
-    /// not among them, even if it was: it is tried again.
-    fn reject<'a>(&mut self, versions: impl IntoIterator<Item = &'a Arc<str>>) {
-        for version in versions {
-            if *version != self.version && !self.rejected.contains(version) {
-                self.rejected.push(version.clone());
-            }
-        }
-        self.rejected.drain(..self.rejected.len().saturating_sub(MAX_REJECTED));
+    /// Returns whether an earlier roll-out has introduced a version without completing it. That of this roll-out is
+    /// tried again.
+    fn is_rejected(&self, version: &str) -> bool {
+        *self.version != *version && self.earlier.is_rejected(version)
     }
 
     /// Adopts the record of this roll-out or of an earlier one of the service.
     fn adopt_record(&mut self, record: &Record) {
         if self.is_recorded_by(record) {
-            self.reject(&record.rejected);
+            self.earlier.merge(&record.earlier);
             self.apply_recorded_phase(record.phase);
         } else if record.revision < self.revision {
-            self.reject(&record.rejected);
-            match record.phase {
-                // Another node may have completed what this one has seen in progress.
-                Phase::Completed => self.rejected.retain(|version| *version != record.version),
-                Phase::InProgress | Phase::Reverted => self.reject([&record.version]),
-            }
+            self.earlier.merge(&record.earlier);
+            self.earlier.add(record.revision, &record.version, record.phase);
         }
     }
 
@@ -236,7 +223,7 @@
         if !is_new_era && !is_rewriting {
             return false;
         }
-        let is_earlier = self.earlier.contains(&(revision.number, version.clone(), time_limit));
+        let is_earlier = self.declared.contains(&(revision.number, version.clone(), time_limit));
         let is_this = self.version == *version && self.time_limit == time_limit;
         if is_this {
             self.revision = revision;
@@ -404,7 +391,7 @@
     version: Arc<str>,
     selects_new: bool,
     allows_fallback: bool,
-    rejected: SmallVec<[Arc<str>; 2]>,
+    earlier: Earlier,
     /// Stage of the roll-out in which the version was selected.
     pub stage: Stage,
 }
@@ -423,7 +410,7 @@
 
     /// Returns whether an earlier roll-out has introduced a version without completing it.
     pub fn is_rejected(&self, version: &str) -> bool {
-        self.rejected.iter().any(|rejected| **rejected == *version)
+        *self.version != *version && self.earlier.is_rejected(version)
     }
 }
 
@@ -453,18 +440,16 @@
         revision: Version,
         now: Duration,
     ) -> bool {
-        let (mut earlier, mut rejected) = (Vec::new(), Vec::new());
+        let (mut declared, mut earlier) = (Vec::new(), Earlier::default());
         if let Some(shift) = self.shifts.get_mut(&service) {
             if shift.revision >= revision || shift.find_again(&version, time_limit, revision, now) {
                 return false;
             }
-            rejected = std::mem::take(&mut shift.rejected);
-            if shift.phase != Phase::Completed {
-                rejected.push(shift.version.clone());
-            }
             earlier = std::mem::take(&mut shift.earlier);
-            earlier.push((shift.revision.number, shift.version.clone(), shift.time_limit));
-            earlier.drain(..earlier.len().saturating_sub(MAX_EARLIER));
+            earlier.add(shift.revision, &shift.version, shift.phase);
+            declared = std::mem::take(&mut shift.declared);
+            declared.push((shift.revision.number, shift.version.clone(), shift.time_limit));
+            declared.drain(..declared.len().saturating_sub(MAX_DECLARED));
         }
         let mut shift = Shift {
             version,
@@ -472,18 +457,17 @@
             revision,
             read_at: now,
             found_again_at: None,
-            earlier,
+            declared,
             prior_elapsed: Duration::ZERO,
             own: Evidence::default(),
             peers: HashMap::new(),
             phase: Phase::InProgress,
             is_recorded: false,
-            rejected: Vec::new(),
+            earlier,
             stage: Stage::Canary,
             canary_share: MIN_CANARY_SHARE,
             is_share_set: false,
         };
-        shift.reject(&rejected);
         if let Some((report, restored_at)) = self.restored.remove(&service)
             && report.revision.number == revision.number
         {
@@ -536,8 +520,8 @@
             }
         };
         let allows_fallback = shift.phase != Phase::Reverted;
-        let rejected = shift.rejected.iter().cloned().collect();
-        Some(Selection { version, selects_new, allows_fallback, rejected, stage: shift.stage })
+        let earlier = shift.earlier.clone();
+        Some(Selection { version, selects_new, allows_fallback, earlier, stage: shift.stage })
     }
 
     /// Returns whether endpoints of a version serve a service outside of its roll-out: the new version once it is
@@ -545,8 +529,7 @@
     pub fn is_serving(&self, service: &str, version: &str) -> bool {
         self.shifts.get(service).is_none_or(|shift| {
             let is_new = *shift.version == *version;
-            let is_rejected = shift.rejected.iter().any(|rejected| **rejected == *version);
-            is_new == (shift.phase == Phase::Completed) && !is_rejected
+            is_new == (shift.phase == Phase::Completed) && !shift.is_rejected(version)
         })
     }
 
@@ -558,8 +541,7 @@
     /// Counts a sample of an endpoint's version.
     pub fn record(&mut self, service: &str, version: &str, conditions: Conditions, sample: Sample) {
         let Some(shift) = self.shifts.get_mut(service) else { return };
-        let is_rejected = shift.rejected.iter().any(|rejected| **rejected == *version);
-        if shift.phase == Phase::InProgress && !is_rejected {
+        if shift.phase == Phase::InProgress && !shift.is_rejected(version) {
             shift.own.record(conditions, *shift.version == *version, sample);
         }
     }
@@ -618,9 +600,9 @@
         has_endpoint: impl Fn(&str, &str) -> bool,
     ) -> Vec<(Arc<str>, Record)> {
         let record = |(service, version, revision, phase): (Arc<str>, Arc<str>, Version, Phase)| {
-            let rejected = self.shifts.get(&service).map(|shift| shift.rejected.clone());
-            let rejected = rejected.unwrap_or_default();
-            (service, Record { revision, version, phase, rejected })
+            let earlier = self.shifts.get(&service).map(|shift| shift.earlier.clone());
+            let earlier = earlier.unwrap_or_default();
+            (service, Record { revision, version, phase, earlier })
         };
         self.phases(now, has_endpoint).into_iter().map(record).collect()
     }
@@ -648,7 +630,7 @@
         for report in &mut reports {
             (report.evidence, report.nodes) = (Evidence::default(), 0);
             // The record of the roll-out holds them.
-            report.rejected.clear();
+            report.earlier = Earlier::default();
         }
         reports
     }
@@ -679,7 +661,7 @@
             }
             shift.adopt_elapsed(&report, now);
             shift.apply_reported_phase(&report);
-            shift.reject(&report.rejected);
+            shift.earlier.merge(&report.earlier);
             let Report { evidence, nodes, .. } = report;
             let received = PeerEvidence { evidence, nodes, received_at: now };
             shift.peers.insert((peer.clone(), start), received);
--- a/tests/rejected_versions.rs
+++ b/tests/rejected_versions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pomelolink::gateway::platform::Phase;
-use pomelolink::gateway::rollout::Record;
+use pomelolink::gateway::rollout::{Earlier, Record};
 use pomelolink::gateway::shift::Shifts;
 use pomelolink::gateway::verdict::{Conditions, Sample};
 use pomelolink::gateway::version::Version;
@@ -68,16 +68,18 @@
 /// and the record of that or of the one before.
 #[test]
 fn started_node_learns_rejected_versions() {
-    let record = |revision, version: &str, phase, rejected: &[&str]| Record {
+    let record = |revision, version: &str, phase, earlier: Earlier| Record {
         revision: Version::new(0, revision),
         version: version.into(),
         phase,
-        rejected: rejected.iter().map(|version| (*version).into()).collect(),
+        earlier,
     };
+    let mut earlier = Earlier::default();
+    earlier.add(Version::new(0, 7), &"v2".into(), Phase::Reverted);
     let records = [
-        record(8, "v3", Phase::InProgress, &["v2"]),
-        record(7, "v2", Phase::Reverted, &[]),
-        record(7, "v2", Phase::InProgress, &[]),
+        record(8, "v3", Phase::InProgress, earlier),
+        record(7, "v2", Phase::Reverted, Earlier::default()),
+        record(7, "v2", Phase::InProgress, Earlier::default()),
     ];
     for record in records {
         let mut shifts = Shifts::default();
@@ -87,7 +89,7 @@
         assert_eq!(admitted(&shifts, "v2"), 0, "{record:?}");
         assert!(admitted(&shifts, "v1") > 900, "{record:?}");
         let recorded = shifts.records(START, |_, _| true);
-        assert_eq!(recorded[0].1.rejected, ["v2".into()], "the next record forgets it");
+        assert!(recorded[0].1.earlier.is_rejected("v2"), "the next record forgets it");
     }
 }
 
@@ -113,7 +115,7 @@
         revision: Version::new(0, 7),
         version: "v2".into(),
         phase: Phase::Completed,
-        rejected: Vec::new(),
+        earlier: Earlier::default(),
     };
     shifts.adopt_records(&shifts.awaited_records(), |_| Some(&record));
     assert!(admitted(&shifts, "v2") > 900);
@@ -135,3 +137,26 @@
     let (new, old) = (shifts.is_serving("s", "v3"), shifts.is_serving("s", "v1"));
     assert!(old && !new && !shifts.is_serving("s", "v2"), "rejected endpoints count as capacity");
 }
+
+/// Guards against a service without a serving version: a peer that has missed the completion of a version, and then
+/// learns of the next order, must not make the others reject it.
+#[test]
+fn missed_completion_rejects_nothing() {
+    let (mut node, mut cut_off) = (Shifts::default(), Shifts::default());
+    for shifts in [&mut node, &mut cut_off] {
+        order(shifts, "v2", 7);
+    }
+    end(&mut node, 7, Phase::Completed);
+    for shifts in [&mut node, &mut cut_off] {
+        order(shifts, "v3", 8);
+    }
+    node.merge_peer(&Arc::from("n2"), 1, cut_off.reports(START), START);
+    assert!(admitted(&node, "v2") > 900 && node.is_serving("s", "v2"));
+    cut_off.merge_peer(&Arc::from("n1"), 1, node.reports(START), START);
+    assert!(admitted(&cut_off, "v2") > 900);
+    let record = node.records(START, |_, _| true).remove(0).1;
+    let mut started = Shifts::default();
+    order(&mut started, "v3", 8);
+    started.adopt_records(&started.awaited_records(), |_| Some(&record));
+    assert!(admitted(&started, "v2") > 900);
+}
--- a/tests/shift_rollback.rs
+++ b/tests/shift_rollback.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pomelolink::gateway::platform::Phase;
-use pomelolink::gateway::rollout::Record;
+use pomelolink::gateway::rollout::{Earlier, Record};
 use pomelolink::gateway::shift::Shifts;
 use pomelolink::gateway::verdict::{Conditions, Sample};
 use pomelolink::gateway::version::Version;
@@ -225,7 +225,7 @@
             shifts.start("s".into(), "v2".into(), TIME_LIMIT, revision, start);
         }
         let record =
-            Record { revision, version: "v2".into(), phase: recorded, rejected: Vec::new() };
+            Record { revision, version: "v2".into(), phase: recorded, earlier: Earlier::default() };
         node.adopt_records(&node.awaited_records(), |_| Some(&record));
         peer.apply_phase("s", revision, reported);
         node.merge_peer(&Arc::from("n1"), 1, peer.reports(start), start);
