Make the test of the baseline fail without its mend

Cause: in rejected_version_is_no_baseline the next version failed so often that it was reverted also when the rejected version's samples counted as the old one's.

Change: the next version fails as often as the two others together.

--- a/tests/rejected_versions.rs
+++ b/tests/rejected_versions.rs
@@ -127,10 +127,13 @@
     let mut shifts = Shifts::default();
     order(&mut shifts, "v2", 7);
     order(&mut shifts, "v3", 8);
-    for answer in 0..400 {
-        let samples = [("v2", Sample::Failed), ("v1", Sample::Start(1.0)), ("v3", Sample::Failed)];
-        let (version, sample) = samples[answer % 3];
-        shifts.record("s", version, Conditions::default(), sample);
+    // Half of the next version's requests fail, as many as of v1 and v2 together.
+    for answer in 0..200 {
+        let next = if answer % 2 == 0 { Sample::Failed } else { Sample::Start(1.0) };
+        for (version, sample) in [("v1", Sample::Start(1.0)), ("v2", Sample::Failed), ("v3", next)]
+        {
+            shifts.record("s", version, Conditions::default(), sample);
+        }
     }
     shifts.judge(START);
     assert_eq!(shifts.phases(START, |_, _| true)[0].3, Phase::Reverted);
