Check a configuration before it is sent

Cause: the store accepts every configuration that matches its schema. Routes that never match, limits that contradict each other and keys of two tenants show up only once they are in force.

The checks are a module of the product without I/O; the adapter decodes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 mod handle;
 pub mod handover;
 pub mod link;
+pub mod lint;
 mod metrics;
 mod node;
 pub mod notice;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -93,7 +93,7 @@
     pub scaling: Option<Scaling>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Tenant {
     pub name: Arc<str>,
     pub keys: Vec<Arc<str>>,
@@ -123,6 +123,16 @@
     pub idle_timeout: Duration,
 }
 
+/// The declarations of one version as they were written, before they are indexed.
+#[derive(Debug, Clone)]
+pub struct Draft {
+    pub version: u64,
+    pub routes: Vec<Route>,
+    pub services: Vec<Service>,
+    pub tenants: Vec<Tenant>,
+    pub limits: Limits,
+}
+
 /// One version of the declarations; a node never returns to a lower version.
 #[derive(Debug)]
 pub struct Catalog {
@@ -134,6 +144,13 @@
     keys: HashMap<Arc<str>, Arc<Tenant>>,
 }
 
+impl From<Draft> for Catalog {
+    fn from(draft: Draft) -> Catalog {
+        let Draft { version, routes, services, tenants, limits } = draft;
+        Catalog::new(version, routes, services, tenants, limits)
+    }
+}
+
 impl Catalog {
     pub fn new(
         version: u64,
