Limit cold endpoints over all nodes

Cause: an endpoint that has just started tolerates few requests, but all nodes prefer it because it looks idle.

Change: gateway::cold keeps which endpoints are cold, by their rows, responses and peers, and which are suspected: after a failure until this node's next success, and when listed for the first time, again or with a later start. Few nodes use such an endpoint, each with a bucket of one request that starts empty; ranking and bucket are now shared with the rate limits in gateway::division. The gate charges requests again that waited more than 100 ms for their connection. Heartbeats and digests carry the suspicions (new format bytes). Services without cold_per_s have no rule and are not limited.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -6,6 +6,8 @@
 
 use smallvec::SmallVec;
 
+use crate::gateway::cold;
+
 /// How often a request of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -91,6 +93,8 @@
     pub max_connections: u32,
     pub engine: Option<Engine>,
     pub scaling: Option<Scaling>,
+    /// Set if the endpoints tolerate only few requests while they are cold.
+    pub cold: Option<cold::Rule>,
 }
 
 #[derive(Debug)]
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -256,6 +256,10 @@
                 return;
             }
             let version = catalog.version;
+            let rules = catalog.services.values();
+            let rules = rules.filter_map(|it| Some((it.name.clone(), it.cold?))).collect();
+            let excess = node.settings.bounds.cold;
+            node.roster.borrow_mut().stated.cold.configure(rules, excess, clock::now());
             node.quotas.borrow_mut().configure(&catalog.tenants, clock::now());
             *node.catalog.borrow_mut() = Some(Arc::from(catalog));
             node.wake_all();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -343,9 +343,10 @@
 
 /// Asks for the permission to write a request to the endpoint on which it was placed.
 fn admit(node: &Node, context: &Context, placement: &Placement) -> Result<gate::Pass, Hold> {
-    let Placement { endpoint, is_limit_paid, .. } = placement;
+    let Placement { endpoint, is_limit_paid, cold_charged_at, .. } = placement;
     let mut roster = node.roster.borrow_mut();
-    gate::admit(&mut roster, endpoint, *is_limit_paid, clock::now()).inspect_err(|hold| {
+    let pass = gate::admit(&mut roster, endpoint, *is_limit_paid, *cold_charged_at, clock::now());
+    pass.inspect_err(|hold| {
         log_attempt(context, &endpoint.id, "held_back", hold.name());
         node.metrics.record_held_back(hold.name());
     })
@@ -448,7 +449,7 @@
     crash::record_start(node, context);
     if head.status.is_server_error() {
         // A service may fail single requests while the endpoint is healthy; the share of failures decides.
-        placement.record_failure();
+        placement.record_server_error();
     } else {
         placement.record_success();
     }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -26,6 +26,8 @@
     Paused,
     /// The endpoint has named a limit since the request was placed, and this node's part of it is used up.
     Limited,
+    /// The endpoint is cold, and this node's part of its rate is used up.
+    Cold,
 }
 
 impl Hold {
@@ -36,6 +38,7 @@
             Hold::Gone => "gone",
             Hold::Paused => "paused",
             Hold::Limited => "limited",
+            Hold::Cold => "cold",
         }
     }
 }
@@ -44,12 +47,14 @@
 /// so that it doesn't wait for the endpoint's limit, but is charged to it.
 pub fn admit_transfer(roster: &mut Roster, endpoint: &Endpoint, now: Duration) -> Pass {
     roster.stated.limits.spend(&endpoint.id, now);
+    roster.stated.cold.spend(&endpoint.id, now);
     Pass(())
 }
 
 /// Returns the permission to write a request to an endpoint that was chosen for it.
 ///
-/// `is_limit_paid` tells whether the request was charged to the endpoint's rate limit when it was placed. An endpoint
+/// `is_limit_paid` tells whether the request was charged to the endpoint's rate limit when it was placed, and
+/// `cold_charged_at` when it was charged to the rate of a cold endpoint. An endpoint
 /// that only fails is not held back here: it was chosen in spite of that.
 ///
 /// # Errors
@@ -59,6 +64,7 @@
     roster: &mut Roster,
     endpoint: &Endpoint,
     is_limit_paid: bool,
+    cold_charged_at: Option<Duration>,
     now: Duration,
 ) -> Result<Pass, Hold> {
     let entry = roster.get(&endpoint.id).ok_or(Hold::Gone)?;
@@ -71,11 +77,14 @@
     if roster.stated.pauses.is_paused(&endpoint.id, now) {
         return Err(Hold::Paused);
     }
+    if !is_limit_paid && roster.stated.limits.permit(&endpoint.id, now) != Permit::Granted {
+        return Err(Hold::Limited);
+    }
+    if !roster.stated.cold.admit(&endpoint.id, cold_charged_at, now) {
+        return Err(Hold::Cold);
+    }
     if !is_limit_paid {
-        match roster.stated.limits.permit(&endpoint.id, now) {
-            Permit::Granted => roster.stated.limits.spend(&endpoint.id, now),
-            Permit::After(_) | Permit::Denied => return Err(Hold::Limited),
-        }
+        roster.stated.limits.spend(&endpoint.id, now);
     }
     Ok(Pass(()))
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::balancer::Load;
 use crate::gateway::clock;
+use crate::gateway::cold;
 use crate::gateway::crash;
 use crate::gateway::follow::{self, Reading};
 use crate::gateway::node::Node;
@@ -43,9 +44,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 15;
+const HEARTBEAT_FORMAT: u8 = 16;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 16;
+const DIGEST_FORMAT: u8 = 17;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -92,6 +93,8 @@
     /// Rate limits of endpoints that have changed or, in a full heartbeat, all that responses to the node
     /// have stated.
     limits: Vec<rate_limit::Report>,
+    /// Endpoints that the node's own evidence shows as cold, of the same scope.
+    cold: Vec<cold::Report>,
 }
 
 /// What outlives the holder of the duties, and the store's memory of it.
@@ -135,6 +138,8 @@
     quarantine: quarantine::Report,
     /// Rate limits that responses to the nodes of the domain have stated.
     limits: Vec<rate_limit::Report>,
+    /// Endpoints that the evidence of the nodes of the domain shows as cold.
+    cold: Vec<cold::Report>,
 }
 
 impl Digest {
@@ -242,6 +247,7 @@
         rollouts: node.shifts.borrow().reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(scope, now),
+        cold: node.roster.borrow().stated.cold.reports(scope, now),
     }
 }
 
@@ -275,7 +281,9 @@
     let peers = node.peers.borrow();
     broadcast(&heartbeat, peers.direct_addresses(now), socket);
     node.quotas.borrow_mut().set_share(peers.quota_share(now));
-    node.roster.borrow_mut().stated.limits.set_fleet(peers.fleet(now), now);
+    let fleet = peers.fleet(now);
+    node.roster.borrow_mut().stated.cold.set_fleet(&fleet, now);
+    node.roster.borrow_mut().stated.limits.set_fleet(fleet, now);
     node.balancer.borrow_mut().set_peer_loads(peers.loads(now).into_iter());
     // A peer may have released capacity that queued requests wait for.
     node.wake_all();
@@ -354,6 +362,7 @@
         rollouts: node.shifts.borrow().domain_reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(Scope::Domain, now),
+        cold: node.roster.borrow().stated.cold.reports(Scope::Domain, now),
     }
 }
 
@@ -462,6 +471,7 @@
     merge_quarantine(node, source.0, &heartbeat.quarantine, now);
     let delay = receipt.delay.unwrap_or_default();
     statement::apply_reports(node, source.0, &heartbeat.limits, false, delay);
+    statement::apply_cold(node, source.0, &heartbeat.cold, false, delay);
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
     let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
@@ -508,6 +518,7 @@
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
     merge_quarantine(node, &digest.node, &digest.quarantine, now);
     statement::apply_reports(node, &digest.node, &digest.limits, true, Duration::ZERO);
+    statement::apply_cold(node, &digest.node, &digest.cold, true, Duration::ZERO);
     follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -34,7 +34,11 @@
     match (change, known) {
         // Peers drop an entry that is missing, unless they are told that it is back.
         (Change::Updated(endpoint), Some(known)) => {
-            known.endpoint != *endpoint || known.is_missing()
+            // Rows state a shorter time with each report; only a longer one, as by a row that did not
+            // name any, is news.
+            let is_colder = endpoint.cold_for > known.endpoint.cold_for;
+            let same = Endpoint { cold_for: known.endpoint.cold_for, ..endpoint.clone() };
+            known.endpoint != same || is_colder || known.is_missing()
         }
         (Change::Updated(_), None) | (Change::Removed(_), _) => true,
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -13,13 +13,15 @@
 
 use crate::gateway::balancer::{Candidate, Choice, Job, Load, Overload};
 use crate::gateway::clock;
+use crate::gateway::cold;
 use crate::gateway::handle::{Context, Refusal};
 use crate::gateway::node::Node;
 use crate::gateway::platform::Endpoint;
 use crate::gateway::queue;
-use crate::gateway::rate_limit::{Limits, Permit};
+use crate::gateway::rate_limit::Permit;
 use crate::gateway::refusal::Cause;
 use crate::gateway::roster::{self, Entry};
+use crate::gateway::statement::Memory;
 use crate::gateway::verdict::{Conditions, Sample};
 
 /// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
@@ -52,6 +54,8 @@
     shows_prefill_rate: bool,
     /// Whether the request is charged to the endpoint's rate limit.
     pub is_limit_paid: bool,
+    /// Time at which the request was charged to the rate of a cold endpoint, if it was.
+    pub cold_charged_at: Option<Duration>,
     /// Conditions of the samples for a roll-out of the service.
     conditions: Conditions,
     /// Whether this is the first attempt at the request. Some requests fail wherever they run, so that
@@ -125,13 +129,24 @@
     fn record_health_success(&self) {
         let mut roster = self.node.roster.borrow_mut();
         let id = &self.endpoint.id;
+        roster.stated.cold.record_success(&self.endpoint, self.began, clock::now());
         if roster.health(id).is_some_and(|health| health.record_success()) {
             log::info!("place: event=endpoint_regained endpoint={id}");
         }
     }
 
-    /// Records a failed connection, a broken response or a server error.
+    /// Records a failed connection or a broken response. The endpoint may come back cold.
     pub fn record_failure(&self) {
+        let mut roster = self.node.roster.borrow_mut();
+        if roster.stated.cold.record_failure(&self.endpoint, clock::now()) {
+            cold::log_cold(&self.endpoint.id, "failure");
+        }
+        drop(roster);
+        self.record_server_error();
+    }
+
+    /// Records a failed request.
+    pub fn record_server_error(&self) {
         let has_started = self.has_started.get();
         self.record_sample(if has_started { Sample::Broken } else { Sample::Failed });
         let mut roster = self.node.roster.borrow_mut();
@@ -403,7 +418,7 @@
     /// Removes the endpoints to which this node may not send a request now; returns what their limits
     /// allow, or `None` if there are none.
     fn apply(
-        limits: &Limits,
+        stated: &Memory,
         entries: &mut SmallVec<[&Entry; 32]>,
         now: Duration,
     ) -> Option<Budget> {
@@ -412,7 +427,7 @@
         let mut own_rate = 0.0;
         entries.retain(|entry| {
             let id = &entry.endpoint.id;
-            let permit = limits.permit(id, now);
+            let permit = stated.permit(id, now);
             if permit == Permit::Granted {
                 return true;
             }
@@ -420,8 +435,9 @@
                 budget.next = budget.next.min(wait);
             }
             budget.endpoints += 1;
-            budget.rate += limits.rate(id).unwrap_or_default();
-            own_rate += limits.own_rate(id).unwrap_or_default();
+            let (rate, own) = stated.rates(id, now).unwrap_or_default();
+            budget.rate += rate;
+            own_rate += own;
             false
         });
         if own_rate > 0.0 {
@@ -485,10 +501,10 @@
             return Selection::Paused(pause);
         }
     }
-    let limits = &roster.stated.limits;
-    let budget = match limits.is_empty() {
+    let stated = &roster.stated;
+    let budget = match stated.limits.is_empty() && stated.cold.is_empty() {
         true => None,
-        false => Budget::apply(limits, &mut entries, now),
+        false => Budget::apply(stated, &mut entries, now),
     };
     if let Some(mut budget) = budget {
         node.metrics.record_limit_skip(&context.service);
@@ -520,6 +536,7 @@
     let stated = &mut node.roster.borrow_mut().stated;
     let is_limit_paid = stated.limits.rate(&endpoint.id).is_some();
     stated.limits.spend(&endpoint.id, now);
+    let cold_charged_at = stated.cold.spend(&endpoint.id, now).then_some(now);
     stated.pauses.record_request(&endpoint.id, now);
     Selection::Endpoint(Placement {
         node: node.clone(),
@@ -530,6 +547,7 @@
         began: now,
         shows_prefill_rate,
         is_limit_paid,
+        cold_charged_at,
         conditions: Conditions::new(
             version_selection.map(|selection| selection.stage).unwrap_or_default(),
             &context.route.name,
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -66,6 +66,8 @@
     pub leaves_in: Option<Duration>,
     /// Unix time of its start in milliseconds, which distinguishes two starts with the same ID.
     pub started_ms: u64,
+    /// Time for which the endpoint tolerates only few requests, as its row states it.
+    pub cold_for: Option<Duration>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -288,6 +290,8 @@
     pub is_leaving: bool,
     /// Asked for with a refusal.
     pub pause: Pause,
+    /// Time for which the endpoint tolerates only few requests.
+    pub cold_for: Option<Duration>,
 }
 
 impl Statement {
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
-use xxhash_rust::xxh3;
 
+use crate::gateway::division::Bucket;
+pub use crate::gateway::division::{Fleet, Permit};
 use crate::gateway::platform::{Endpoint, RateLimit};
 
 /// Least requests per second for which one more node uses an endpoint.
@@ -69,47 +69,6 @@
     All,
 }
 
-/// Live nodes as one of them knows them.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Fleet {
-    pub node: Arc<str>,
-    pub domain: Arc<str>,
-    /// The other live nodes of the failure domain.
-    pub neighbors: Vec<Arc<str>>,
-    /// Number of live nodes in each failure domain, this node included.
-    pub domains: SmallVec<[(Arc<str>, u32); 8]>,
-    /// Live nodes as a fraction of those that have not expired.
-    pub share: f64,
-}
-
-impl Fleet {
-    /// Returns the requests per second that this node may send to an endpoint with a limit; 0 if other nodes
-    /// use the endpoint.
-    ///
-    /// The nodes of the endpoint's failure domain come first, since requests from there cross no other one.
-    fn own_rate(&self, endpoint: &str, endpoint_domain: &str, rate: f64) -> f64 {
-        let seed = xxh3::xxh3_64(endpoint.as_bytes());
-        let rank = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), seed);
-        let domain_rank =
-            |domain: &str| (domain != endpoint_domain, rank(domain), Arc::from(domain));
-        let own_domain: (bool, u64, Arc<str>) = domain_rank(&self.domain);
-        let (mut live, mut ahead) = (0, 0);
-        for (domain, count) in &self.domains {
-            live += count;
-            if domain_rank(domain) < own_domain {
-                ahead += count;
-            }
-        }
-        let users = ((rate / MIN_USER_RATE) as u32).clamp(1, live.max(1));
-        if ahead >= users {
-            return 0.0;
-        }
-        let own = (rank(&self.node), &self.node);
-        ahead += self.neighbors.iter().filter(|name| (rank(name), *name) < own).count() as u32;
-        if ahead < users { rate * self.share / f64::from(users) } else { 0.0 }
-    }
-}
-
 /// Who has told this node of a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Source {
@@ -130,35 +89,16 @@
     /// Time at which this node learned of the last change.
     changed_at: Duration,
     source: Source,
-    /// Requests per second that this node may send.
-    own_rate: f64,
-    /// Requests that this node may send now; negative after requests that could not wait.
-    tokens: f64,
-    refilled_at: Duration,
+    bucket: Bucket,
     has_unreadable: bool,
 }
 
 impl Entry {
-    fn tokens_at(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        (self.tokens + elapsed * self.own_rate)
-            .min(BURST.max(self.own_rate * BURST_TIME.as_secs_f64()))
-    }
-
     /// Updates the part of the limit that this node may use.
     fn assign(&mut self, endpoint: &str, fleet: &Fleet, now: Duration) {
         let Some(rate) = self.usable_rate() else { return };
-        self.refill(now);
-        self.own_rate = fleet.own_rate(endpoint, &self.domain, rate);
-        // What a node saved while it was a user is another node's part now.
-        if self.own_rate == 0.0 {
-            self.tokens = self.tokens.min(0.0);
-        }
-    }
-
-    fn refill(&mut self, now: Duration) {
-        self.tokens = self.tokens_at(now);
-        self.refilled_at = now;
+        let own_rate = fleet.own_rate(endpoint, &self.domain, rate, MIN_USER_RATE);
+        self.bucket.assign(own_rate, now);
     }
 
     /// Returns the limit with the requests that probe for its end.
@@ -177,16 +117,6 @@
     Unreadable,
 }
 
-/// Whether a node may send an endpoint one more request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Permit {
-    Granted,
-    /// The node has used its part until this much later.
-    After(Duration),
-    /// Other nodes use the endpoint.
-    Denied,
-}
-
 /// Limits of all endpoints that have named one.
 #[derive(Debug, Default)]
 pub struct Limits {
@@ -242,9 +172,7 @@
             stated_at: None,
             changed_at: now,
             source: Source::OtherDomain,
-            own_rate: 0.0,
-            tokens: 0.0,
-            refilled_at: now,
+            bucket: Bucket::new(BURST, BURST_TIME, now),
             has_unreadable: false,
         };
         let entry = entries.entry(id.clone()).or_insert_with(new);
@@ -270,7 +198,7 @@
             return Outcome::Unchanged;
         }
         let before = entry.rate;
-        entry.refill(now);
+        entry.bucket.refill(now);
         entry.stated_at = Some(stated_at);
         entry.source = if before == rate { entry.source.min(source) } else { source };
         entry.rate = rate;
@@ -280,7 +208,7 @@
         entry.changed_at = now;
         // A first limit lets the users send a burst, while the load moves to other endpoints.
         if before.is_none() || rate.is_none() {
-            entry.tokens = BURST;
+            entry.bucket.set_tokens(BURST, now);
         }
         entry.assign(id, &self.fleet, now);
         Outcome::Changed(before, rate)
@@ -358,21 +286,13 @@
         let Some(entry) = self.entries.get(endpoint).filter(|entry| entry.rate.is_some()) else {
             return Permit::Granted;
         };
-        let missing = 1.0 - entry.tokens_at(now);
-        if entry.own_rate <= 0.0 {
-            Permit::Denied
-        } else if missing <= 0.0 {
-            Permit::Granted
-        } else {
-            Permit::After(Duration::from_secs_f64(missing / entry.own_rate))
-        }
+        entry.bucket.permit(now)
     }
 
     /// Spends one request to an endpoint. What may not wait is paid later.
     pub fn spend(&mut self, endpoint: &str, now: Duration) {
         if let Some(entry) = self.entries.get_mut(endpoint).filter(|entry| entry.rate.is_some()) {
-            entry.refill(now);
-            entry.tokens -= 1.0;
+            entry.bucket.spend(now);
         }
     }
 
@@ -384,7 +304,7 @@
     /// Returns the requests per second that this node may send to an endpoint; `None` without a limit.
     pub fn own_rate(&self, endpoint: &str) -> Option<f64> {
         let entry = self.entries.get(endpoint)?;
-        entry.rate.map(|_| entry.own_rate)
+        entry.rate.map(|_| entry.bucket.own_rate())
     }
 
     /// Returns the number of endpoints with a limit.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::cold;
 use crate::gateway::platform::{Change, Endpoint};
 use crate::gateway::rate_limit::Report;
 use crate::gateway::statement::Memory;
@@ -201,6 +202,13 @@
             Change::Updated(mut endpoint) => {
                 let id = endpoint.id.clone();
                 self.stated.observe(&endpoint);
+                let known = self.entries.get(&id);
+                let is_new = known.is_none_or(|known| {
+                    known.is_missing() || known.endpoint.started_ms < endpoint.started_ms
+                });
+                if self.stated.cold.observe(&endpoint, is_new, now) {
+                    cold::log_cold(&id, "list");
+                }
                 self.keep_leaving(&mut endpoint);
                 if !endpoint.draining {
                     self.gone.remove(&(id.clone(), endpoint.started_ms));
@@ -301,6 +309,19 @@
         self.stated.merge_limits(reports, is_other_domain, find, delay, now)
     }
 
+    /// Merges the suspicions that a peer, or another failure domain, reports of listed endpoints; returns those that
+    /// are newly cold. `delay` is the time that the datagram took.
+    pub fn merge_cold(
+        &mut self,
+        reports: &[cold::Report],
+        is_other_domain: bool,
+        delay: Duration,
+        now: Duration,
+    ) -> Vec<Arc<str>> {
+        let find = |id: &str| self.entries.get(id).map(|entry| &entry.endpoint);
+        self.stated.cold.merge(reports, is_other_domain, find, delay, now)
+    }
+
     /// Removes from a complete list the endpoints that had left before the store was restored from a copy.
     /// One that is alive after all reports again.
     pub fn drop_gone(&self, changes: &mut Vec<Change>) {
@@ -327,6 +348,7 @@
         for id in missing {
             self.apply(Change::Removed(id), drain, now);
         }
+        self.stated.cold.record_list();
     }
 
     /// Returns the time at which an endpoint will be gone; `None` while it isn't leaving.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::document::{self, Mistake, Reader};
+use crate::gateway::cold;
 use crate::gateway::shift::Exposure;
 
 /// Share of the revocation limit that the age of the key list may reach. The rest allows for the
@@ -63,6 +64,8 @@
     /// Length of a usage report window.
     pub report_window: Duration,
     pub exposure: Exposure,
+    /// Excess over the rate of a cold endpoint.
+    pub cold: cold::Excess,
 }
 
 impl Bounds {
@@ -157,6 +160,7 @@
         quota_window: zero,
         report_window: zero,
         exposure: Exposure::default(),
+        cold: cold::Excess::default(),
     }
 }
 
@@ -201,6 +205,7 @@
         quota_window: read_seconds(reader, "quota_window_s"),
         report_window: read_seconds(reader, "report_window_s"),
         exposure: read_exposure(reader),
+        cold: read_cold(reader),
     }
 }
 
@@ -212,6 +217,14 @@
     }
 }
 
+fn read_cold(reader: &mut Reader<'_>) -> cold::Excess {
+    let default = cold::Excess::default();
+    cold::Excess {
+        overshoot: reader.number("cold_overshoot", 1.0..=1e9, Some(default.overshoot)),
+        tolerance: reader.number("cold_tolerance", 0.0..=1e9, Some(default.tolerance)),
+    }
+}
+
 fn read_millis(reader: &mut Reader<'_>, name: &'static str) -> Duration {
     Duration::from_secs_f64(reader.number(name, 0.0..=86_400_000.0, None) / 1_000.0)
 }
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::gateway::clock;
+use crate::gateway::cold;
 use crate::gateway::node::Node;
 use crate::gateway::pause;
 use crate::gateway::platform::{Endpoint, Statement};
@@ -22,6 +23,12 @@
     if statement.is_leaving {
         record_leaving(node, endpoint);
     }
+    if let Some(remaining) = statement.cold_for {
+        let cold = &mut node.roster.borrow_mut().stated.cold;
+        if cold.record_stated(endpoint, remaining, clock::now()) {
+            cold::log_cold(&endpoint.id, "response");
+        }
+    }
     let outcome =
         node.roster.borrow_mut().stated.record_pause(endpoint, statement.pause, clock::now());
     match outcome {
@@ -48,6 +55,20 @@
     }
 }
 
+/// Applies the suspicions of cold endpoints that a peer reports; `delay` is the time that its datagram took.
+pub fn apply_cold(
+    node: &Node,
+    peer: &str,
+    reports: &[cold::Report],
+    is_other_domain: bool,
+    delay: Duration,
+) {
+    let mut roster = node.roster.borrow_mut();
+    for id in roster.merge_cold(reports, is_other_domain, delay, clock::now()) {
+        cold::log_cold(&id, peer);
+    }
+}
+
 /// Logs that a response tells nothing about the endpoint to which its request was sent.
 pub fn log_ignored(endpoint: &Endpoint, reason: &str) {
     log::info!("statement: event=ignored endpoint={} reason=\"{reason}\"", endpoint.id);
--- a/src/gateway/statement/memory.rs
+++ b/src/gateway/statement/memory.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::cold::Cold;
+use crate::gateway::division::Permit;
 use crate::gateway::pause::{self, Pauses};
 use crate::gateway::platform::{Endpoint, Pause, RateLimit};
 use crate::gateway::rate_limit::{self, Limits, Report, Scope};
@@ -34,6 +36,7 @@
     starts: HashMap<Arc<str>, Start>,
     pub pauses: Pauses,
     pub limits: Limits,
+    pub cold: Cold,
 }
 
 impl Memory {
@@ -141,6 +144,24 @@
         self.starts.get(id).is_some_and(|start| start.is_leaving && start.started_ms >= started_ms)
     }
 
+    /// Returns whether the limit of an endpoint and its being cold allow this node one more request now.
+    pub fn permit(&self, id: &str, now: Duration) -> Permit {
+        self.limits.permit(id, now).and(self.cold.permit(id, now))
+    }
+
+    /// Returns the requests per second that an endpoint takes from all nodes, and from this one; `None` without a
+    /// limit.
+    pub fn rates(&self, id: &str, now: Duration) -> Option<(f64, f64)> {
+        let limit = self.limits.rate(id).zip(self.limits.own_rate(id));
+        let lower = |(rate, own): (f64, f64), (other, other_own): (f64, f64)| {
+            (rate.min(other), own.min(other_own))
+        };
+        match (limit, self.cold.rates(id, now)) {
+            (Some(limit), Some(cold)) => Some(lower(limit, cold)),
+            (limit, cold) => limit.or(cold),
+        }
+    }
+
     /// Ends the statements of endpoints that the list has not shown for long; `is_listed` tells which it shows.
     pub fn refresh(&mut self, is_listed: impl Fn(&str) -> bool, now: Duration) {
         let mut absent = Vec::new();
@@ -168,6 +189,7 @@
             self.starts.get(id).is_some_and(|start| start.started_ms == started_ms)
         };
         self.limits.retain(is_known, now);
+        self.cold.expire(now);
         self.pauses.retain(is_known);
     }
 
--- a/tests/asked_pauses.rs
+++ b/tests/asked_pauses.rs
@@ -22,6 +22,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms,
+        cold_for: None,
     }
 }
 
--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -161,6 +161,7 @@
         reclaimable: true,
         leaves_in: None,
         started_ms: 0,
+        cold_for: None,
     }
 }
 
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -22,6 +22,7 @@
         reclaimable: true,
         leaves_in: draining.then_some(Duration::from_secs(2)),
         started_ms: 1,
+        cold_for: None,
     })
 }
 
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -33,6 +33,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms: 1,
+        cold_for: None,
     }
 }
 
--- a/tests/roster_health.rs
+++ b/tests/roster_health.rs
@@ -25,6 +25,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms: born_ms,
+        cold_for: None,
     })
 }
 
--- a/tests/send_gate.rs
+++ b/tests/send_gate.rs
@@ -27,6 +27,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms,
+        cold_for: None,
     }
 }
 
@@ -41,7 +42,7 @@
 }
 
 fn hold(roster: &mut Roster, now: Duration) -> Option<Hold> {
-    gate::admit(roster, &endpoint(1), false, now).err()
+    gate::admit(roster, &endpoint(1), false, None, now).err()
 }
 
 /// Guards against a request that is written after its endpoint said that it leaves, or was seen to.
@@ -98,7 +99,10 @@
     let unpaid: Vec<_> = (0..5).map(|_| hold(&mut roster, at(2))).collect();
     assert_eq!(unpaid[..2], [None, None]);
     assert_eq!(unpaid[2..], [Some(Hold::Limited); 3]);
-    assert!(gate::admit(&mut roster, &endpoint(1), true, at(2)).is_ok(), "it was charged before");
+    assert!(
+        gate::admit(&mut roster, &endpoint(1), true, None, at(2)).is_ok(),
+        "it was charged before"
+    );
     assert_eq!(hold(&mut roster, at(3)), None);
 }
 
--- a/tests/stated_memory.rs
+++ b/tests/stated_memory.rs
@@ -26,6 +26,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms,
+        cold_for: None,
     }
 }
 
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -31,6 +31,7 @@
         reclaimable: false,
         leaves_in: None,
         started_ms,
+        cold_for: None,
     }
 }
 
