--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,7 +11,7 @@
 pub mod crash;
 pub mod demand;
 mod discovery;
-mod duties;
+pub mod duties;
 mod exchange;
 pub mod fleet;
 pub mod follow;
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -162,9 +162,18 @@
 /// Stores the counts of all nodes regularly, so that they survive a loss of all nodes at once.
 async fn store_counts(context: Rc<DutyContext>) {
     let mut writer = recall::Writer::default();
+    let mut was_writer = false;
     loop {
         tokio::time::sleep(recall::WRITE_INTERVAL).await;
-        if context.valid_grant().is_some() {
+        let holds_lease = context.lease.borrow().grant().is_some();
+        let is_writer = recall::is_writer(&context.node, holds_lease, clock::now());
+        if is_writer != was_writer {
+            log::info!(
+                "duties: event=snapshot_writer writes={is_writer} holds_lease={holds_lease}"
+            );
+            was_writer = is_writer;
+        }
+        if is_writer {
             writer.write(&context.node).await;
         } else {
             writer = recall::Writer::default();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     limit_skips: Option<IntCounterVec>,
     held_back: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
+    snapshot_writes: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -75,6 +76,11 @@
             "Restores of the platform's store from a copy that this node has seen.",
             &[],
         );
+        let snapshot_writes = counter(
+            "pomelolink_snapshot_writes_total",
+            "Writes of the counters' snapshot to the store, by result.",
+            &["result"],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -123,6 +129,7 @@
             limit_skips,
             held_back,
             restores,
+            snapshot_writes,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -196,6 +203,12 @@
         }
     }
 
+    pub fn record_snapshot_write(&self, result: &str) {
+        if let Some(snapshot_writes) = &self.snapshot_writes {
+            snapshot_writes.with_label_values(&[result]).inc();
+        }
+    }
+
     pub fn record_limit_skip(&self, service: &str) {
         if let Some(limit_skips) = &self.limit_skips {
             limit_skips.with_label_values(&[service]).inc();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -108,6 +108,9 @@
     pub known_fence: Cell<u64>,
     /// Newest usage window whose counts any node is known to have recorded.
     pub recorded_window: Cell<u64>,
+    /// Unix time of the snapshot whose quota units this node has restored, in milliseconds; 0 if it has the
+    /// history from elsewhere, `None` until the roll-outs and quotas are known.
+    pub recalled_ms: Cell<Option<u64>>,
     pub roster: RefCell<Roster>,
     pub notices: RefCell<Notices>,
     /// Time as of which the endpoints are known: when the last successful read was sent, by this node or
@@ -174,6 +177,7 @@
             store_era: Cell::default(),
             known_fence: Cell::default(),
             recorded_window: Cell::default(),
+            recalled_ms: Cell::default(),
             roster: RefCell::default(),
             notices: RefCell::default(),
             endpoints_read_at: Cell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -92,6 +92,8 @@
     sequence: u64,
     /// Time of the last heartbeat.
     seen: Option<Duration>,
+    /// Previous run of the peer and when it was last heard.
+    previous_run: Option<(u64, Duration)>,
     /// Time of the first heartbeat of this run.
     first_seen: Duration,
     /// Time of the first heartbeat after the last gap.
@@ -204,6 +206,7 @@
             incarnation: 0,
             sequence: 0,
             seen: None,
+            previous_run: None,
             first_seen: now,
             contiguous_since: now,
             added: now,
@@ -272,6 +275,7 @@
         let is_same_run = peer.incarnation == beat.incarnation;
         let skew_ms = beat.uptime_ms as i64 - now.as_millis() as i64;
         if !is_same_run {
+            peer.previous_run = peer.seen.map(|seen| (peer.incarnation, seen));
             peer.first_seen = now;
             peer.max_skew_ms = skew_ms;
         }
@@ -618,6 +622,19 @@
         now.saturating_sub(self.started_at) < YOUNG_TIME
     }
 
+    /// Returns when a run of another node was last heard: by its own heartbeats, or in the sums of its failure
+    /// domain if that is another one of a large fleet.
+    pub fn last_heard(&self, node: &str, incarnation: u64, domain: &str) -> Option<Duration> {
+        if self.is_split && *domain != *self.domain {
+            let relays = self.relays.values().filter(|relay| *relay.domain == *domain);
+            return relays.map(|relay| relay.seen).max();
+        }
+        let peer = self.peers.get(node)?;
+        let previous = peer.previous_run.filter(|(previous, _)| *previous == incarnation);
+        let seen = if peer.incarnation == incarnation { peer.seen } else { None };
+        seen.or(previous.map(|(_, seen)| seen))
+    }
+
     /// Returns the loads that the live direct peers reported.
     pub fn direct_loads(&self, now: Duration) -> impl Iterator<Item = &(Arc<str>, Load)> {
         let alive = self.direct(now).filter(move |(_, peer)| peer.is_alive(now));
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -309,6 +309,11 @@
         self.map_windows(now, |window| window.own_sum)
     }
 
+    /// Returns the length of the windows, with the extension for units that are not reported yet.
+    pub fn length(&self) -> Duration {
+        self.length
+    }
+
     /// Reports whether this node doesn't know yet what was admitted before its start.
     pub fn is_missing_history(&self) -> bool {
         self.is_missing_history
