--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,7 @@
 pub mod demand;
 mod discovery;
 pub mod division;
-mod duties;
+pub mod duties;
 mod exchange;
 pub mod fleet;
 pub mod follow;
