--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,7 +40,18 @@
     engines: usize,
     engine_args: &[&str],
 ) -> std::io::Result<Fleet> {
-    let mut fleet = Fleet::start(programs(), dir.path())?;
+    start_programs(programs(), dir, entries, engines, engine_args).await
+}
+
+/// Starts the same with programs that may be run through another command.
+pub async fn start_programs(
+    programs: Programs,
+    dir: &tempfile::TempDir,
+    entries: usize,
+    engines: usize,
+    engine_args: &[&str],
+) -> std::io::Result<Fleet> {
+    let mut fleet = Fleet::start(programs, dir.path())?;
     fleet.timing = json!({ "config_poll_ms": 200, "vm_poll_ms": 200, "heartbeat_ms": 200 });
     for index in 0..engines {
         fleet.endpoint("engine", "engines", DOMAINS[index % DOMAINS.len()], engine_args)?;
