Bound the memory and the connections of callers in the gateway

Cause: nothing accounted for the bytes of all bodies and buffered responses, nor for connections; 64 callers or endpoints ended a process with the memory of the smallest VM.

Change: `intake` has one account per process. Bodies and responses are copied into buffers that are charged before they grow and return their bytes with the last reference. A full account refuses new large bodies, then drops unfinished ones without progress, with 503 `memory_full`; an eighth is reserved for bodies up to 64 KiB, and one tenant or address holds at most half. Connections are bounded by descriptors and memory; the one that is idle for longest is closed for a new one. Unfinished bodies need 4,000 bytes per second after 3 s. The settings `memory_mb` and `file_descriptors` are optional.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3;
 
 use crate::endpoint::pool::{Failure, Guard};
 use crate::gateway::catalog::Kind;
@@ -29,6 +30,7 @@
 use crate::gateway::queue;
 use crate::gateway::refusal::Cause;
 use crate::gateway::relay::{Body, Splitter};
+use crate::intake::{account, ledger};
 
 /// Largest response of a plain service; responses are buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -432,11 +434,22 @@
     placement: Placement,
 ) -> Attempt {
     let (mut head, body) = response.into_parts();
-    let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let terms = account::Terms {
+        owner: xxh3::xxh3_64(placement.endpoint.id.as_bytes()),
+        kind: ledger::Kind::Accepted,
+        limit: MAX_RESPONSE_BYTES,
+        timeout: context.deadline.saturating_sub(clock::now()),
+    };
+    let body = match node.intake.read(body, terms).await {
+        Ok(body) => body,
+        Err(account::Failure::MemoryFull) => {
+            placement.ignore_response();
+            return Attempt::Unknown("this node has no memory for the response".to_owned());
+        }
+        Err(account::Failure::TooSlow) => return Attempt::TimedOut,
         Err(error) => {
             placement.record_failure();
-            return Attempt::Unknown(format!("response body could not be read: {error}"));
+            return Attempt::Unknown(format!("response body could not be read: {error:?}"));
         }
     };
     // An endpoint that responds with an error before it has read a long body may take the rest of
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use xxhash_rust::xxh3;
 
@@ -19,6 +18,9 @@
 use crate::gateway::queue;
 use crate::gateway::refusal::Cause;
 use crate::gateway::relay::Body;
+use crate::intake::account::{Failure, Terms};
+use crate::intake::connections;
+use crate::intake::ledger::Kind;
 
 /// Longest wait for a request body; an earlier deadline of the request takes precedence.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,11 +50,23 @@
 /// Cause of a refusal and the delay after which the caller may retry.
 pub type Refusal = (Cause, Option<Duration>);
 
+/// The connection of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Origin<'a> {
+    /// Hash of the caller's address.
+    pub address: u64,
+    pub request: &'a connections::Request,
+}
+
 /// Serves one request of a caller.
-pub async fn request(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn request(
+    node: Rc<Node>,
+    origin: Origin<'_>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrived = clock::now();
     let active = Active::new(node.clone());
-    let result = admit(&node, request, arrived).await;
+    let result = admit(&node, origin, request, arrived).await;
     match result {
         Ok(context) => forward::run(node, context, active).await,
         Err(((cause, delay), id, route)) => refuse(&node, cause, delay, &id, &route, arrived),
@@ -105,6 +119,7 @@
 
 async fn admit(
     node: &Rc<Node>,
+    origin: Origin<'_>,
     request: Request<Incoming>,
     arrived: Duration,
 ) -> Result<Context, Rejected> {
@@ -129,15 +144,15 @@
         return Err(((Cause::NoRoute, None), id, unknown));
     };
     let name = route.name.clone();
-    admit_to_route(node, head, body, metadata, catalog, route, arrived)
+    admit_to_route(node, origin, (head, body), metadata, catalog, route, arrived)
         .await
         .map_err(|refusal| (refusal, id, name))
 }
 
 async fn admit_to_route(
     node: &Rc<Node>,
-    head: request::Parts,
-    body: Incoming,
+    origin: Origin<'_>,
+    (head, body): (request::Parts, Incoming),
     metadata: Metadata,
     catalog: Arc<Catalog>,
     route: Arc<Route>,
@@ -148,8 +163,17 @@
     let caller_deadline = metadata.deadline.map(|remaining| arrived + remaining);
     let route_deadline = arrived + route.timeout;
     let deadline = caller_deadline.map_or(route_deadline, |deadline| deadline.min(route_deadline));
-    let body =
-        read_body(body, catalog.limits.body_bytes, deadline.min(arrived + BODY_TIMEOUT)).await?;
+    let owner = tenant.as_ref().map_or(origin.address, |tenant| self::hash(&tenant.name));
+    let terms = Terms {
+        owner,
+        kind: Kind::Unfinished,
+        limit: catalog.limits.body_bytes,
+        timeout: deadline.min(arrived + BODY_TIMEOUT).saturating_sub(clock::now()),
+    };
+    let body = read_body(node, body, terms, hash).await?;
+    if !origin.request.accept() {
+        return Err(memory_full(hash));
+    }
     let Some(service) = route.choose_service(hash).cloned() else {
         return Err((Cause::NoEndpoint, Some(OTHER_NODE_RETRY_AFTER)));
     };
@@ -223,21 +247,23 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Duration) -> Result<Bytes, Refusal> {
-    let size = body.size_hint();
-    if size.lower() > limit as u64 {
-        return Err((Cause::BodyTooLarge, None));
-    }
-    if size.exact() == Some(0) {
+async fn read_body(node: &Node, body: Incoming, terms: Terms, hash: u64) -> Result<Bytes, Refusal> {
+    if body.size_hint().exact() == Some(0) {
         return Ok(Bytes::new());
     }
-    let remaining = deadline.saturating_sub(clock::now());
-    match tokio::time::timeout(remaining, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err((Cause::BodyTooLarge, None)),
-        Ok(Err(_)) => Err((Cause::BodyCut, None)),
-        Err(_) => Err((Cause::BodyTooSlow, None)),
-    }
+    node.intake.read(body, terms).await.map_err(|failure| match failure {
+        Failure::TooLarge => (Cause::BodyTooLarge, None),
+        Failure::TooSlow => (Cause::BodyTooSlow, None),
+        Failure::MemoryFull => memory_full(hash),
+        Failure::Broken(reason) => {
+            log::debug!("handle: event=body_broken reason=\"{reason}\"");
+            (Cause::BodyCut, None)
+        }
+    })
+}
+
+fn memory_full(hash: u64) -> Refusal {
+    (Cause::MemoryFull, Some(queue::jitter(OTHER_NODE_RETRY_AFTER, hash)))
 }
 
 fn hash(id: &str) -> u64 {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -224,6 +224,16 @@
         set("store_era", node.store_era.get().map_or(-1, |era| era as i64));
         set("limited_endpoints", node.roster.borrow().stated.limited_count() as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
+        let intake = node.intake.counts();
+        set("intake_bytes", intake.used as i64);
+        set("intake_limit_bytes", intake.size as i64);
+        set("intake_refused_bodies", intake.refused as i64);
+        set("intake_dropped_bodies", intake.dropped as i64);
+        let connections = node.connections.lock();
+        set("connections", connections.count() as i64);
+        set("connections_limit", connections.limit() as i64);
+        set("connections_closed_for_others", connections.closed as i64);
+        drop(connections);
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -24,7 +24,8 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::shift::Shifts;
 use crate::gateway::usage::{Source, Usage};
-use crate::gateway::{clock, follow, metrics};
+use crate::gateway::{clock, follow, metrics, serve};
+use crate::intake::{self, account, connections};
 
 /// Longest time after a start for which the node stays unready while it doesn't know how much of
 /// their quotas the tenants have used.
@@ -127,6 +128,10 @@
     pub waiting: RefCell<HashMap<Arc<str>, Waiters>>,
     pub pools: Pools,
     pub metrics: metrics::Registry,
+    /// Bytes of request bodies and buffered responses.
+    pub intake: account::Account,
+    /// Connections of callers.
+    pub connections: connections::Table,
     /// Difference between Unix time and the monotonic `clock::now`, in milliseconds; corrected
     /// against the clocks of the peers.
     pub unix_offset_ms: Cell<i64>,
@@ -160,6 +165,8 @@
         let (name, domain) = (settings.node.clone(), settings.failure_domain.clone());
         let peers = Peers::new(name, domain, incarnation, clock::now());
         let metrics = metrics::Registry::new();
+        let resources = intake::Resources::find(settings.memory, settings.file_descriptors);
+        let connections = resources.connections(serve::DEFAULT_HEADER_BYTES);
         let platform = platform.with_metrics(&metrics);
         Rc::new(Node {
             started_at: clock::now(),
@@ -190,6 +197,8 @@
             waiting: RefCell::default(),
             pools: Pools::default(),
             metrics,
+            intake: account::Account::new(resources.body_bytes()),
+            connections: connections::Table::new(connections),
             unix_offset_ms: Cell::new(wall_ms - clock::now().as_millis() as i64),
             stopping: Cell::default(),
             closing: Cell::default(),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -15,6 +15,8 @@
     BadRequest,
     BodyTooLarge,
     BodyTooSlow,
+    /// This node has no memory for the body.
+    MemoryFull,
     /// The caller's connection ended before the body was complete.
     BodyCut,
     UnknownKey,
@@ -42,12 +44,13 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 18] = [
+    const ALL: [Cause; 19] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
         Cause::BodyTooLarge,
         Cause::BodyTooSlow,
+        Cause::MemoryFull,
         Cause::BodyCut,
         Cause::UnknownKey,
         Cause::StaleKeys,
@@ -76,6 +79,10 @@
             Cause::BadRequest => "its headers could not be parsed",
             Cause::BodyTooLarge => "its body is larger than the declared limit",
             Cause::BodyTooSlow => "its body did not arrive in time",
+            Cause::MemoryFull => {
+                "the bodies of other requests had used the memory that the node has for them; see \
+                 intake: event=body_refused and body_dropped"
+            }
             Cause::BodyCut => "the caller's connection ended before the body was complete",
             Cause::UnknownKey => "no tenant has its key",
             Cause::StaleKeys => {
@@ -118,6 +125,7 @@
             Cause::BadRequest => "bad_request",
             Cause::BodyTooLarge => "body_too_large",
             Cause::BodyTooSlow => "body_too_slow",
+            Cause::MemoryFull => "memory_full",
             Cause::BodyCut => "body_cut",
             Cause::UnknownKey => "unknown_key",
             Cause::StaleKeys => "stale_keys",
@@ -145,6 +153,7 @@
             Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Cause::NoCatalog
             | Cause::Stopping
+            | Cause::MemoryFull
             | Cause::StaleKeys
             | Cause::NoEndpoint
             | Cause::Busy
@@ -159,7 +168,10 @@
 
     /// Returns whether the rest of the request body stays unread, so that the connection must close.
     fn leaves_body_unread(self) -> bool {
-        matches!(self, Cause::BodyTooLarge | Cause::BodyTooSlow | Cause::BodyCut)
+        matches!(
+            self,
+            Cause::BodyTooLarge | Cause::BodyTooSlow | Cause::BodyCut | Cause::MemoryFull
+        )
     }
 
     /// Builds the response, with the time after which the caller should retry.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -26,6 +26,10 @@
     /// Duties that this deployment performs through the cloud interface.
     pub duties: Duties,
     pub bounds: Bounds,
+    /// Memory of this VM in bytes; `None` if the node finds it out.
+    pub memory: Option<u64>,
+    /// File descriptors that this process may open; `None` if its own limit applies.
+    pub file_descriptors: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -109,6 +113,9 @@
                 cloud: read_optional_address(reader, "cloud"),
                 duties: read_duties(&reader.texts("duties")),
                 bounds: bounds.unwrap_or_else(unset_bounds),
+                memory: read_count(reader, "memory_mb", 32.0..=1e7)
+                    .map(|megabytes| megabytes * 1_000_000),
+                file_descriptors: read_count(reader, "file_descriptors", 64.0..=1e7),
             };
             if settings.cloud.is_none() && (settings.duties.usage || settings.duties.capacity) {
                 reader.reject("duties", "require the address of the cloud interface in \"cloud\"");
@@ -212,6 +219,15 @@
     }
 }
 
+/// Reads a whole number that may be missing.
+fn read_count(
+    reader: &mut Reader<'_>,
+    name: &'static str,
+    bounds: std::ops::RangeInclusive<f64>,
+) -> Option<u64> {
+    reader.has(name).then(|| reader.number(name, bounds, None) as u64)
+}
+
 fn read_millis(reader: &mut Reader<'_>, name: &'static str) -> Duration {
     Duration::from_secs_f64(reader.number(name, 0.0..=86_400_000.0, None) / 1_000.0)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod explain;
 pub mod gateway;
+pub mod intake;
 pub mod lease;
 pub mod logging;
 pub mod membership;
