--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     allowed_retries: Option<IntGaugeVec>,
     endpoints: Option<IntGaugeVec>,
     avoided_endpoints: Option<IntGaugeVec>,
+    cold_endpoints: Option<IntGaugeVec>,
 }
 
 impl Registry {
@@ -113,6 +114,11 @@
             "Listed endpoints that get no new requests from this node, by reason.",
             &["reason"],
         );
+        let cold_endpoints = gauge(
+            "pomelolink_cold_endpoint",
+            "Remaining milliseconds of each cold endpoint, and requests that this node may send in 1,000 s.",
+            &["endpoint", "field"],
+        );
         Registry {
             registry,
             outcomes,
@@ -129,6 +135,7 @@
             allowed_retries,
             endpoints,
             avoided_endpoints,
+            cold_endpoints,
         }
     }
 
@@ -223,6 +230,8 @@
         set("quarantined_parts", node.quarantine.borrow().quarantined_count() as i64);
         set("store_era", node.store_era.get().map_or(-1, |era| era as i64));
         set("limited_endpoints", node.roster.borrow().stated.limited_count() as i64);
+        let cold = node.roster.borrow().stated.cold.iter(now).count();
+        set("cold_endpoints", cold as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
@@ -263,6 +272,14 @@
                 set("paused", i64::from(entry.health.is_paused(now)));
             }
         }
+        if let Some(cold_endpoints) = &self.cold_endpoints {
+            cold_endpoints.reset();
+            for (id, remaining, own_rate) in node.roster.borrow().stated.cold.iter(now) {
+                let set = |field, value| cold_endpoints.with_label_values(&[&**id, field]).set(value);
+                set("remaining_ms", remaining.as_millis() as i64);
+                set("own_per_1000_s", (own_rate * 1_000.0) as i64);
+            }
+        }
         if let Some(avoided) = &self.avoided_endpoints {
             avoided.reset();
             let roster = node.roster.borrow();
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,7 +27,7 @@
     Stopping,
     /// The request would miss its deadline in the queue or at the endpoints.
     Busy,
-    /// All endpoints have named rate limits, and these are used up.
+    /// All endpoints have named rate limits or are cold, and what they take is used up.
     Limited,
     /// All endpoints have asked for a pause.
     Paused,
@@ -93,7 +93,8 @@
                  see queue_full, queue_late or crowded"
             }
             Cause::Limited => {
-                "its service's endpoints had named rate limits, which were used up; see limits_used"
+                "its service's endpoints had named rate limits or were cold, and what they take was used up; see \
+                 limits_used and endpoint_cold"
             }
             Cause::Paused => {
                 "its service's endpoints had asked this node for a pause; see pause_asked and endpoints_paused"
