Replace a lookup that clippy rejects

Cause: cargo clippy with warnings denied stopped at a lookup in gateway::cold.

Change: the check uses contains_key; behavior is the same.

--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -215,7 +215,7 @@
         if is_new && self.has_list {
             is_cold = self.suspect(endpoint, now);
         }
-        let is_known = self.entries.get(&endpoint.id).is_some();
+        let is_known = self.entries.contains_key(&endpoint.id);
         match endpoint.cold_for {
             Some(remaining) if !remaining.is_zero() => {
                 let until = now + remaining.min(MAX_STATED) + STATED_MARGIN;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -275,7 +275,8 @@
         if let Some(cold_endpoints) = &self.cold_endpoints {
             cold_endpoints.reset();
             for (id, remaining, own_rate) in node.roster.borrow().stated.cold.iter(now) {
-                let set = |field, value| cold_endpoints.with_label_values(&[&**id, field]).set(value);
+                let set =
+                    |field, value| cold_endpoints.with_label_values(&[&**id, field]).set(value);
                 set("remaining_ms", remaining.as_millis() as i64);
                 set("own_per_1000_s", (own_rate * 1_000.0) as i64);
             }
