Plan endpoints by the share of late answers too

Cause: the planner reduced the endpoints to what the prompt tokens ask for, all at once after its warm-up, though streams stalled there.

Change: nodes count, by service with routes that declare `gap_aim_ms`, the streams with a first event and those that began late or had a gap above that aim, and exchange the totals like the demand (heartbeat format 16, digest format 17). While more than 5 in 100 of the last 5 s are late the plan is raised, up to twice what the tokens ask for; while less than half of that is late it goes back. What was found at the start is removed in steps of a fifth of the surplus. Services without the declaration are planned as before.

Responses of plain services are not counted.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,6 +20,7 @@
 mod gossip;
 mod handle;
 pub mod handover;
+pub mod lateness;
 pub mod link;
 mod metrics;
 mod node;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -28,6 +28,8 @@
     pub timeout: Duration,
     /// Time after which a response, or the first event of a stream, is late.
     pub target_latency: Duration,
+    /// Longest time between two events of a stream that callers don't notice; `None` if undeclared.
+    pub gap_target: Option<Duration>,
     /// 0 is the most urgent.
     pub priority: u8,
     /// Services that the traffic is split between, with their weights.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -11,7 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::catalog::{Catalog, Route};
 use crate::gateway::clock;
+use crate::gateway::demand::Demand;
 use crate::gateway::fleet;
 use crate::gateway::node::Node;
 use crate::gateway::platform::{Acceptance, Fence, Order, Phase, Usage};
@@ -361,6 +363,14 @@
             return;
         }
         observe_services(node, &mut planner);
+        for (service, change) in planner.take_changes() {
+            log::info!(
+                "duties: event=late_answers service={service} factor={:.2} late_share={:.3}",
+                change.factor,
+                change.late_share
+            );
+        }
+        planner.factors().for_each(|(it, factor)| node.metrics.set_capacity_factor(it, factor));
         let Some(token) = context.valid_grant().map(|grant| grant.fence) else {
             planner.clear_orders();
             continue;
@@ -401,6 +411,12 @@
     }
 }
 
+/// Reports whether a route of a service declares a target for the gaps of its streams.
+fn has_gap_target(catalog: &Catalog, service: &str) -> bool {
+    let serves = |route: &Route| route.services.iter().any(|(name, _)| **name == *service);
+    catalog.routes().any(|route| route.gap_target.is_some() && serves(route))
+}
+
 /// Passes the demand, load and endpoints of each service with scaling rules to the planner.
 fn observe_services(node: &Rc<Node>, planner: &mut fleet::Planner) {
     let Some(catalog) = node.catalog() else { return };
@@ -412,6 +428,11 @@
         let mut snapshot = fleet::Snapshot {
             requested_tokens: node.demand.borrow().total(&service.name),
             prefill_tokens_per_s: balancer.prefill_tokens_per_ms(&service.name) * 1_000.0,
+            lateness: has_gap_target(&catalog, &service.name).then(|| {
+                let lateness = node.lateness.borrow();
+                let total = |counter: &Demand| counter.total(&service.name);
+                (total(&lateness.answers), total(&lateness.late))
+            }),
             slots: service.engine.map_or(1, |engine| engine.slots),
             ..fleet::Snapshot::default()
         };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::gateway::catalog::Scaling;
+use crate::gateway::lateness::{Change, Feedback};
 
 /// Share of the time in which an endpoint prefills prompts when all endpoints needed are running, so
 /// that first tokens stay on time in a burst.
@@ -52,6 +53,9 @@
     /// Number of endpoints that are not leaving, by failure domain and whether they are
     /// reclaimable.
     pub endpoints: BTreeMap<(Arc<str>, bool), u32>,
+    /// Totals of answers and of late answers at all nodes; `None` if no route of the service declares a
+    /// target for the gaps of its streams.
+    pub lateness: Option<(u64, u64)>,
     /// Sum over the endpoints of the part of each that its rate limit keeps unused.
     pub limited_endpoints: f64,
     /// Number of endpoints of the other version in a roll-out, by failure domain and whether they
@@ -88,6 +92,12 @@
         self.limited_endpoints += 1.0 - (requests_per_s * tokens / planned).min(1.0);
     }
 
+    /// Returns the number of endpoints that are needed if all that run are, in the unit of the demand.
+    fn needed_for_running(&self, scaling: &Scaling) -> f64 {
+        let running = f64::from(self.endpoints.values().sum::<u32>());
+        if scaling.reclaimable_price.is_some() { running / RECLAIMABLE_FACTOR } else { running }
+    }
+
     fn running(&self, domain: &Arc<str>, reclaimable: bool) -> u32 {
         self.endpoints.get(&(domain.clone(), reclaimable)).copied().unwrap_or(0)
     }
@@ -113,6 +123,9 @@
     /// Decaying peak of the number of endpoints that the demand needs.
     peak_endpoints: f64,
     last_observed: Duration,
+    feedback: Feedback,
+    /// Latest change of the feedback's factor that hasn't been logged.
+    change: Option<Change>,
     /// Count and time of the last accepted order for each failure domain and kind.
     last_orders: HashMap<(Arc<str>, bool), (u32, Duration)>,
     refused_until: HashMap<(Arc<str>, bool), Duration>,
@@ -129,6 +142,8 @@
             mean_requests: 0.0,
             peak_endpoints: 0.0,
             last_observed: now,
+            feedback: Feedback::new(now),
+            change: None,
             last_orders: HashMap::new(),
             refused_until: HashMap::new(),
         }
@@ -153,11 +168,33 @@
             self.initial_count = self.initial_count.max(snapshot.larger_kind_count());
         }
         self.snapshot = snapshot;
+        self.observe_lateness(now);
+    }
+
+    fn observe_lateness(&mut self, now: Duration) {
+        let Some(totals) = self.snapshot.lateness else {
+            self.feedback = Feedback::new(now);
+            return;
+        };
+        // What runs at first is kept until answers show that fewer suffice.
+        if now.saturating_sub(self.first_observed) < REGISTRATION_TIME {
+            self.feedback.raise_floor(self.snapshot.needed_for_running(&self.scaling), now);
+        }
+        if now.saturating_sub(self.first_observed) < WARM_UP {
+            self.feedback.hold(now);
+        }
+        let boot_time = self.scaling.boot_time;
+        let change = self.feedback.observe(totals, self.peak_endpoints, boot_time, now);
+        self.change = change.or(self.change);
     }
 
     /// Returns the number of endpoints that the demand needs, with those that make up for rate limits.
     fn needed(&self, now: Duration) -> u32 {
-        let demand = (self.peak_endpoints + self.snapshot.limited_endpoints).ceil() as u32;
+        let planned = match self.snapshot.lateness {
+            Some(_) => self.feedback.planned(self.peak_endpoints),
+            None => self.peak_endpoints,
+        };
+        let demand = (planned + self.snapshot.limited_endpoints).ceil() as u32;
         let is_warm = now.saturating_sub(self.first_observed) >= WARM_UP;
         if is_warm { demand } else { demand.max(self.initial_count) }
     }
@@ -289,6 +326,20 @@
         plan.observe(snapshot, now);
     }
 
+    /// Returns the changes of plans by late answers since the last call.
+    pub fn take_changes(&mut self) -> Vec<(Arc<str>, Change)> {
+        let changes = self.plans.iter_mut().filter_map(|(service, plan)| {
+            let change = plan.change.take()?;
+            Some((service.clone(), change))
+        });
+        changes.collect()
+    }
+
+    /// Returns the factor by which late answers raise the plan of each service.
+    pub fn factors(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        self.plans.iter().map(|(service, plan)| (service, plan.feedback.factor()))
+    }
+
     /// Clears the record of past orders, since another node now sends them.
     pub fn clear_orders(&mut self) {
         for plan in self.plans.values_mut() {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,6 +16,7 @@
 use crate::gateway::balancer::Load;
 use crate::gateway::clock;
 use crate::gateway::crash;
+use crate::gateway::demand::Demand;
 use crate::gateway::follow::{self, Reading};
 use crate::gateway::node::Node;
 use crate::gateway::notice::Notice;
@@ -43,9 +44,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 15;
+const HEARTBEAT_FORMAT: u8 = 16;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 16;
+const DIGEST_FORMAT: u8 = 17;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -84,6 +85,9 @@
     loads: Vec<(Arc<str>, Load)>,
     /// Prompt tokens to prefill for callers since the start of the node, by service.
     demand: Vec<(Arc<str>, u64)>,
+    /// Answers and late answers since the start of the node, by service.
+    answers: Vec<(Arc<str>, u64)>,
+    late: Vec<(Arc<str>, u64)>,
     /// Endpoint changes that the node has recently read from the store.
     endpoints: Vec<Notice>,
     /// State of each roll-out, with the good and bad responses of both versions.
@@ -128,6 +132,9 @@
     loads: Vec<(Arc<str>, Load)>,
     /// Prompt tokens to prefill for callers since the relay started, by service.
     demand: Vec<(Arc<str>, u64)>,
+    /// Answers and late answers since the relay started, by service.
+    answers: Vec<(Arc<str>, u64)>,
+    late: Vec<(Arc<str>, u64)>,
     endpoints: Vec<Notice>,
     /// Time since the relay's last failed read of the store, if any.
     outage_age_ms: Option<u64>,
@@ -208,6 +215,9 @@
     let loads = balancer.own_loads().map(|(id, load)| (id.clone(), load)).collect();
     let demand = node.demand.borrow();
     let demand = demand.own().map(|(service, total)| (service.clone(), total)).collect();
+    let lateness = node.lateness.borrow();
+    let totals = |counter: &Demand| counter.own().map(|(it, total)| (it.clone(), total)).collect();
+    let (answers, late) = (totals(&lateness.answers), totals(&lateness.late));
     let reading = follow::own_reading(node, now);
     let endpoints = match reading {
         Some(_) => node.notices.borrow_mut().outgoing(now),
@@ -238,6 +248,8 @@
         usage,
         loads,
         demand,
+        answers,
+        late,
         endpoints,
         rollouts: node.shifts.borrow().reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
@@ -349,6 +361,8 @@
         usage: node.usage.borrow().domain_sums(usage_windows),
         loads: loads.into_iter().collect(),
         demand: node.demand.borrow().domain_totals(),
+        answers: node.lateness.borrow().answers.domain_totals(),
+        late: node.lateness.borrow().late.domain_totals(),
         endpoints: node.notices.borrow_mut().outgoing(now),
         outage_age_ms: outage.map(|outage| now.saturating_sub(outage).as_millis() as u64),
         rollouts: node.shifts.borrow().domain_reports(now),
@@ -458,6 +472,14 @@
     for (service, total) in &heartbeat.demand {
         node.demand.borrow_mut().record_peer(source.0, source.1, service, *total);
     }
+    let mut lateness = node.lateness.borrow_mut();
+    for (service, total) in &heartbeat.answers {
+        lateness.answers.record_peer(source.0, source.1, service, *total);
+    }
+    for (service, total) in &heartbeat.late {
+        lateness.late.record_peer(source.0, source.1, service, *total);
+    }
+    drop(lateness);
     node.shifts.borrow_mut().merge_peer(source.0, source.1, heartbeat.rollouts, now);
     merge_quarantine(node, source.0, &heartbeat.quarantine, now);
     let delay = receipt.delay.unwrap_or_default();
@@ -504,6 +526,14 @@
     for (service, total) in &digest.demand {
         node.demand.borrow_mut().record_domain(domain, digest.incarnation, service, *total);
     }
+    let mut lateness = node.lateness.borrow_mut();
+    for (service, total) in &digest.answers {
+        lateness.answers.record_domain(domain, digest.incarnation, service, *total);
+    }
+    for (service, total) in &digest.late {
+        lateness.late.record_domain(domain, digest.incarnation, service, *total);
+    }
+    drop(lateness);
     let start = crate::gateway::usage::DOMAIN_START;
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
     merge_quarantine(node, &digest.node, &digest.quarantine, now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
     allowed_retries: Option<IntGaugeVec>,
+    capacity_factors: Option<IntGaugeVec>,
     endpoints: Option<IntGaugeVec>,
     avoided_endpoints: Option<IntGaugeVec>,
 }
@@ -109,6 +110,11 @@
             "Retries that the budget allows this node to send now, by service.",
             &["service"],
         );
+        let capacity_factors = gauge(
+            "pomelolink_capacity_factor_percent",
+            "Planned endpoints in percent of those that the demand asks for, by service.",
+            &["service"],
+        );
         let endpoints = gauge(
             "pomelolink_endpoint",
             "Requests, unread prompt tokens, slowness in percent and pause of each listed endpoint.",
@@ -134,6 +140,7 @@
             node_gauges,
             peer_ages,
             allowed_retries,
+            capacity_factors,
             endpoints,
             avoided_endpoints,
         }
@@ -209,6 +216,12 @@
         }
     }
 
+    pub fn set_capacity_factor(&self, service: &str, factor: f64) {
+        if let Some(capacity_factors) = &self.capacity_factors {
+            capacity_factors.with_label_values(&[service]).set((factor * 100.0).round() as i64);
+        }
+    }
+
     pub fn record_limit_skip(&self, service: &str) {
         if let Some(limit_skips) = &self.limit_skips {
             limit_skips.with_label_values(&[service]).inc();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -13,6 +13,7 @@
 use crate::gateway::budget::{Budget, Limit};
 use crate::gateway::catalog::Catalog;
 use crate::gateway::demand::Demand;
+use crate::gateway::lateness::Lateness;
 use crate::gateway::link::Pools;
 use crate::gateway::notice::Notices;
 use crate::gateway::peers::Peers;
@@ -124,6 +125,7 @@
     pub budget: RefCell<Budget>,
     pub usage: RefCell<Usage>,
     pub demand: RefCell<Demand>,
+    pub lateness: RefCell<Lateness>,
     pub shifts: RefCell<Shifts>,
     pub quarantine: RefCell<Quarantine>,
     pub peers: RefCell<Peers>,
@@ -188,6 +190,7 @@
             budget: RefCell::new(Budget::new(retry_limit)),
             usage: RefCell::default(),
             demand: RefCell::default(),
+            lateness: RefCell::default(),
             shifts: RefCell::new(Shifts::new(settings.bounds.exposure)),
             quarantine: RefCell::default(),
             peers: RefCell::new(peers),
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -16,6 +16,7 @@
 use crate::gateway::forward::{self, Attempt, History, Resume, Stream};
 use crate::gateway::handle::{Active, Context};
 use crate::gateway::handover::{self, Handover};
+use crate::gateway::lateness::Gaps;
 use crate::gateway::node::Node;
 use crate::gateway::place;
 use crate::gateway::relay::{Aborted, Body};
@@ -76,6 +77,20 @@
     Response::from_parts(head, body)
 }
 
+/// Counts a stream whose first event has arrived, on a route that declares a target for gaps.
+fn record_first_event(node: &Node, context: &Context) -> Gaps {
+    let (now, target) = (clock::now(), context.route.gap_target);
+    let is_late = now.saturating_sub(context.arrived) > context.route.target_latency;
+    if target.is_some() {
+        let mut lateness = node.lateness.borrow_mut();
+        lateness.record_answer(&context.service);
+        if is_late {
+            lateness.record_late(&context.service);
+        }
+    }
+    Gaps::new(target, is_late, now)
+}
+
 async fn forward_stream(
     node: &Rc<Node>,
     context: &Rc<Context>,
@@ -83,8 +98,9 @@
     mut stream: Stream,
     sender: EventSender,
 ) -> &'static str {
+    let mut gaps = record_first_event(node, context);
     loop {
-        let handover = match forward_events(node, context, &mut stream, &sender).await {
+        let handover = match forward_events(node, context, &mut stream, &mut gaps, &sender).await {
             End::Complete => return "answered",
             End::CallerGone => {
                 log_event(context, &stream, "caller_gone", "");
@@ -202,6 +218,7 @@
     node: &Rc<Node>,
     context: &Rc<Context>,
     stream: &mut Stream,
+    gaps: &mut Gaps,
     sender: &EventSender,
 ) -> End {
     let first_events = std::mem::take(&mut stream.first_events);
@@ -269,6 +286,9 @@
                 }
                 let Some(whole_events) = whole_events else { continue };
                 pace.record_events(stream, PACE_EVENTS);
+                if gaps.record_event(clock::now()) {
+                    node.lateness.borrow_mut().record_late(&context.service);
+                }
                 if sender.send(Ok(whole_events)).await.is_err() {
                     return End::CallerGone;
                 }
--- a/tests/fleet_orders.rs
+++ b/tests/fleet_orders.rs
@@ -74,6 +74,7 @@
                 prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
                 slots: 32,
                 endpoints: self.running.clone(),
+                lateness: None,
                 limited_endpoints: self.limited_endpoints,
                 other_version: None,
             };
