--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod gossip;
 mod handle;
 pub mod handover;
+pub mod lateness;
 pub mod link;
 pub mod lint;
 mod metrics;
