Count stalls of streams in the choice of an endpoint

Cause: an engine reads long prompts in the steps of its running batch, so the events of the streams there wait. The choice looked at the first event only.

Change: a route's gap_aim_ms is read. For services with it, the score of an endpoint includes the stall that the prompt adds for each request running there and the one that the request meets (gateway::stall). Endpoints that make the first event in time come first, then those within the aim. If streams at all sampled endpoints would exceed the aim, one more sample is compared. Without a gap aim the score is the former one.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,7 @@
 mod serve;
 pub mod settings;
 pub mod shift;
+pub mod stall;
 pub mod statement;
 mod stop;
 pub mod usage;
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -23,6 +23,7 @@
 use crate::gateway::catalog;
 use crate::gateway::platform::{Endpoint, Prompt};
 use crate::gateway::prefill::Prefill;
+use crate::gateway::stall;
 
 /// Prefill rate of an engine, in prompt tokens per millisecond, before any slowdown was observed.
 const PREFILL_TOKENS_PER_MS: f64 = 40.0;
@@ -46,6 +47,9 @@
 
 /// Endpoints compared at a time, in addition to those that the prompt prefers.
 const SAMPLE_SIZE: usize = 3;
+/// Samples that are compared while all candidates would stall their streams for longer than the gap aim. More
+/// would lead all nodes to the same few endpoints until their loads are reported.
+const MAX_STALLED_SAMPLES: usize = 2;
 /// One in this many sampled endpoints is in another failure domain than the node.
 const OTHER_DOMAIN_EVERY: usize = 3;
 
@@ -159,6 +163,8 @@
     pub hash: u64,
     /// Latest time for the first token.
     pub deadline: Duration,
+    /// Longest tolerated gap between two events of the service's streams; `None` leaves stalls out of the choice.
+    pub gap_aim: Option<Duration>,
 }
 
 /// An endpoint that may serve the request.
@@ -183,6 +189,17 @@
     pub shows_prefill_rate: bool,
 }
 
+/// Rank of an endpoint for a request; the least is the best.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Score {
+    /// Whether the first event would miss the deadline, which is worse than a stall.
+    is_tight: bool,
+    /// Whether streams there would stall for longer than the gap aim.
+    is_stalled: bool,
+    /// Estimated time to the first event, and the cost of stalls, in milliseconds.
+    ms: f64,
+}
+
 /// Reason why no endpoint is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Overload {
@@ -212,15 +229,16 @@
         let is_affine =
             |candidate: &&Candidate<'a>| affine.contains(&Some(&*candidate.endpoint.id));
         let mut overload = Overload::Full;
-        for sample in shuffled.chunks(SAMPLE_SIZE) {
-            let mut best: Option<(f64, Choice)> = None;
+        let mut best: Option<(Score, Choice)> = None;
+        for (index, sample) in shuffled.chunks(SAMPLE_SIZE).enumerate() {
             for candidate in sample.iter().chain(shuffled.iter().filter(is_affine)) {
                 let affinity = affine.iter().position(|id| *id == Some(&*candidate.endpoint.id));
                 match self.evaluate(job, affinity, candidate, engine, now) {
                     Ok(choice) => {
                         let is_local = *candidate.endpoint.domain == *domain;
                         let penalty = if is_local { 0.0 } else { CROSS_DOMAIN_MS };
-                        let score = choice.predicted.as_secs_f64() * 1_000.0 + penalty;
+                        let mut score = self.score(job, &choice, candidate, now);
+                        score.ms += penalty;
                         if best.as_ref().is_none_or(|(least, _)| score < *least) {
                             best = Some((score, choice));
                         }
@@ -228,11 +246,42 @@
                     Err(found) => overload = overload.min(found),
                 }
             }
-            if let Some((_, choice)) = best {
-                return Ok(choice);
+            let is_stalled = best.as_ref().is_some_and(|(score, _)| score.is_stalled);
+            if best.is_some() && (!is_stalled || index + 1 >= MAX_STALLED_SAMPLES) {
+                break;
             }
         }
-        Err(overload)
+        best.map(|(_, choice)| choice).ok_or(overload)
+    }
+
+    /// Rates an endpoint that can serve a request in time.
+    fn score(
+        &self,
+        job: Job<'_>,
+        choice: &Choice,
+        candidate: &Candidate<'_>,
+        now: Duration,
+    ) -> Score {
+        let ms = choice.predicted.as_secs_f64() * 1_000.0;
+        let Some(gap_aim) = job.gap_aim else {
+            return Score { is_tight: false, is_stalled: false, ms };
+        };
+        if now + choice.predicted > job.deadline {
+            return Score { is_tight: true, is_stalled: false, ms };
+        }
+        let total = self.total_load(&choice.endpoint);
+        let service = &candidate.endpoint.service;
+        let pace = stall::Pace {
+            tokens_per_ms: self.prefill_tokens_per_ms(service),
+            factor: candidate.slowness,
+            gap_aim,
+        };
+        let (unread, own) = (total.unread_tokens, choice.load.unread_tokens);
+        Score {
+            is_tight: false,
+            is_stalled: total.requests > 0 && pace.exceeds_aim(unread, own),
+            ms: ms + pace.cost_ms(unread, own, total.requests),
+        }
     }
 
     /// Estimates the load and time to the first event of a request on one endpoint.
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -38,6 +38,8 @@
     pub anonymous: bool,
     /// Set if another endpoint may continue a stream after its last event.
     pub resumable: bool,
+    /// Longest time between two events of a stream for which the answer is on time; `None` if not declared.
+    pub gap_aim: Option<Duration>,
 }
 
 impl Route {
@@ -132,6 +134,8 @@
     pub limits: Limits,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Tenant>>,
+    /// Smallest declared gap aim of each service's routes.
+    gap_aims: HashMap<Arc<str>, Duration>,
 }
 
 impl Catalog {
@@ -143,7 +147,12 @@
         limits: Limits,
     ) -> Catalog {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut gap_aims: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
+            for (service, _) in route.gap_aim.iter().flat_map(|_| &route.services) {
+                let least = gap_aims.entry(service.clone()).or_insert(Duration::MAX);
+                *least = route.gap_aim.unwrap_or(*least).min(*least);
+            }
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
@@ -156,7 +165,7 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Catalog { version, services, tenants, limits, routes: by_host, keys }
+        Catalog { version, services, tenants, limits, routes: by_host, keys, gap_aims }
     }
 
     /// Returns the route with the longest matching path prefix; `None` if the host or path has no route.
@@ -166,6 +175,11 @@
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns the smallest gap aim that the routes of a service declare.
+    pub fn gap_aim(&self, service: &str) -> Option<Duration> {
+        self.gap_aims.get(service).copied()
+    }
+
     /// Returns the tenant that owns an API key.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.keys.get(key)
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -497,7 +497,12 @@
             return Selection::Limited(budget);
         }
     }
-    let job = Job { prompt: context.metadata.prompt.as_ref(), hash: context.hash, deadline };
+    let job = Job {
+        prompt: context.metadata.prompt.as_ref(),
+        hash: context.hash,
+        deadline,
+        gap_aim: catalog.as_ref().and_then(|it| it.gap_aim(&context.service)),
+    };
     let candidates = entries
         .iter()
         .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
--- a/tests/crowded_endpoints.rs
+++ b/tests/crowded_endpoints.rs
@@ -241,7 +241,7 @@
         let (kind, prompt) = random_prompt(&mut random, serial);
         let node = random.random_range(0..nodes);
         let deadline = time + Duration::from_secs_f64(KINDS[kind].target_ms / 1_000.0);
-        let job = Job { prompt: Some(&prompt), hash: random.random(), deadline };
+        let job = Job { prompt: Some(&prompt), hash: random.random(), deadline, gap_aim: None };
         let candidates = all.iter().enumerate().map(|(index, endpoint)| Candidate {
             endpoint,
             slowness: health[node][index].slowness(),
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -64,7 +64,12 @@
             is_running
         });
         let prompt = prompt(random.random_range(0..236), index);
-        let job = Job { prompt: Some(&prompt), hash: random.random(), deadline: Duration::MAX };
+        let job = Job {
+            prompt: Some(&prompt),
+            hash: random.random(),
+            deadline: Duration::MAX,
+            gap_aim: None,
+        };
         let candidates: Vec<&Endpoint> = match policy {
             Policy::Balancer => endpoints.iter().collect(),
             Policy::Random => vec![&endpoints[random.random_range(0..endpoints.len())]],
@@ -113,7 +118,8 @@
     let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
     for index in 0..90 {
         let prompt = prompt(5, index);
-        let job = Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX };
+        let job =
+            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_aim: None };
         let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
         let choice = balancer
             .choose(job, "a", candidates, Some(&ENGINE), time)
@@ -133,7 +139,7 @@
     let full = Load { requests: 32, unread_tokens: 0, memory_tokens: 0 };
     balancer.set_peer_loads([("e0".into(), full), ("e1".into(), full)].into_iter());
     let prompt = prompt(5, 1);
-    let job = Job { prompt: Some(&prompt), hash: 3, deadline: Duration::MAX };
+    let job = Job { prompt: Some(&prompt), hash: 3, deadline: Duration::MAX, gap_aim: None };
     let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
     let choice = balancer.choose(job, "a", candidates, Some(&ENGINE), Duration::from_secs(1));
     assert_eq!(choice, Err(Overload::Full));
@@ -148,7 +154,8 @@
     let mut slow = 0;
     for index in 0..40 {
         let prompt = prompt(index, index);
-        let job = Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX };
+        let job =
+            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_aim: None };
         let candidates = endpoints.iter().enumerate().map(|(index, endpoint)| Candidate {
             endpoint,
             slowness: if index == 0 { 5.0 } else { 1.0 },
@@ -173,7 +180,12 @@
     let mut prompt = prompt(5, 1);
     prompt.prompt_tokens = 80_000;
     let now = Duration::from_secs(100);
-    let job = Job { prompt: Some(&prompt), hash: 3, deadline: now + Duration::from_secs(1) };
+    let job = Job {
+        prompt: Some(&prompt),
+        hash: 3,
+        deadline: now + Duration::from_secs(1),
+        gap_aim: None,
+    };
     let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
     let choice = balancer.choose(job, "a", candidates, Some(&ENGINE), now).expect("an endpoint");
     assert!(choice.predicted > Duration::from_secs(1), "{choice:?}");
