Bound the memory and the connections of callers in the daemon

Cause: the daemon read each body whole as a list of frames and bounded neither their sum nor the connections; 64 callers ended a process with the memory of the smallest VM.

Change: the daemon reads bodies through `intake`, by workspace, and refuses those without room as `memory_full` (503, not run) with a closed connection. The settings `limits.memory_mb` and `limits.file_descriptors` are optional.

--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -44,7 +44,7 @@
     if let Some(last_event_id) = parts.headers.get(LAST_EVENT_ID) {
         return resume(node, &context, last_event_id).await;
     }
-    let body = body::read(body, &node.settings.limits).await?;
+    let body = body::read(node, &parts, body, &context.workspace).await?;
     let text = std::str::from_utf8(&body)
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not valid UTF-8"))?;
     let fields = parse(text)?;
--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -75,7 +75,7 @@
         .service(name)
         .ok_or_else(|| Error::new(Kind::NotFound, format!("there is no service \"{name}\"")))?;
     let key = idempotency_key(&parts.headers)?;
-    let body = body::read(body, &node.settings.limits).await?;
+    let body = body::read(node, &parts, body, &context.workspace).await?;
     let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
     let call = Call {
         service: name.into(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -58,6 +58,10 @@
     pub header_bytes: usize,
     pub read_timeout: Duration,
     pub in_flight: usize,
+    /// Memory of this VM in bytes; `None` if the daemon finds it out.
+    pub memory: Option<u64>,
+    /// File descriptors that the daemon may open; `None` if the limit of the process applies.
+    pub file_descriptors: Option<u64>,
     pub journal_entries: usize,
 }
 
@@ -160,6 +164,11 @@
         answer_bytes: reader.number("answer_bytes", 1_024..=1 << 30, Some(default.answer_bytes)),
         header_bytes: reader.number("header_bytes", 8_192..=1 << 20, Some(default.header_bytes)),
         read_timeout: read_millis(reader, "read_timeout_ms", default.read_timeout),
+        memory: (reader.has("memory_mb"))
+            .then(|| reader.number("memory_mb", 32..=10_000_000, None))
+            .map(|megabytes: u64| megabytes * 1_000_000),
+        file_descriptors: (reader.has("file_descriptors"))
+            .then(|| reader.number("file_descriptors", 64..=10_000_000, None)),
         in_flight: reader.number("in_flight", 1..=1 << 20, Some(default.in_flight)),
         journal_entries: reader.number(
             "journal_entries",
@@ -200,6 +209,8 @@
             header_bytes: 16 << 10,
             read_timeout: Duration::from_secs(10),
             in_flight: 4_096,
+            memory: None,
+            file_descriptors: None,
             journal_entries: 8_192,
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 
 use crate::caller::draft;
 use crate::config::Settings;
+use crate::intake::connections;
 use crate::node::Node;
 use crate::stream::drain;
 use crate::util::serve;
@@ -25,6 +26,8 @@
 
 /// Time for which a finished stream stays readable.
 const FINISHED_STREAM_RETENTION: Duration = Duration::from_secs(60);
+/// Most connections of operators, probes and metrics; views of the time line hold theirs for long.
+const OPERATOR_CONNECTIONS: usize = 64;
 /// Interval between writes of time line events to the object store.
 const TIMELINE_FLUSH_PERIOD: Duration = Duration::from_secs(2);
 
@@ -56,8 +59,10 @@
         header_timeout: node.settings.limits.read_timeout,
     };
     let routes = operator::router(operator_state(&node, keeper));
-    tokio::spawn(serve::serve(operators, routes, bounds, closed.clone()));
-    let server = serve::serve(callers, caller::router(node.clone()), bounds, closed);
+    let table = connections::Table::new(OPERATOR_CONNECTIONS);
+    tokio::spawn(serve::serve(operators, routes, bounds, table, closed.clone()));
+    let table = node.connections.clone();
+    let server = serve::serve(callers, caller::router(node.clone()), bounds, table, closed);
     let server = tokio::spawn(server);
     log::info!("daemon: node {} serves callers on {}", node.settings.node, node.settings.callers);
     node.record("daemon", timeline::Subject::default(), "started".to_owned());
--- a/src/error.rs
+++ b/src/error.rs
@@ -59,6 +59,7 @@
     Conflict,
     Overloaded,
     ShareExceeded,
+    MemoryFull,
     NotReady,
     Stopping,
     NoEndpoint,
@@ -85,7 +86,7 @@
 
 impl Kind {
     /// All kinds, for tests and documentation that iterate over the table.
-    pub const ALL: [Kind; 26] = [
+    pub const ALL: [Kind; 27] = [
         Kind::BadRequest,
         Kind::Unauthorized,
         Kind::Forbidden,
@@ -99,6 +100,7 @@
         Kind::Conflict,
         Kind::Overloaded,
         Kind::ShareExceeded,
+        Kind::MemoryFull,
         Kind::NotReady,
         Kind::Stopping,
         Kind::NoEndpoint,
@@ -131,6 +133,7 @@
             Kind::Conflict => ("conflict", 409, Run::No, ChangeRequest),
             Kind::Overloaded => ("overloaded", 429, Run::No, RetryAfter(1_000)),
             Kind::ShareExceeded => ("share_exceeded", 429, Run::No, RetryAfter(1_000)),
+            Kind::MemoryFull => ("memory_full", 503, Run::No, RetryAfter(1_000)),
             Kind::NotReady => ("not_ready", 503, Run::No, RetryAfter(500)),
             Kind::Stopping => ("stopping", 503, Run::No, RetryAfter(100)),
             Kind::NoEndpoint => ("no_endpoint", 503, Run::No, RetryAfter(1_000)),
@@ -190,6 +193,9 @@
         let body = axum::Json(serde_json::json!({ "error": error }));
         let mut response = (entry.status, body).into_response();
         let headers = response.headers_mut();
+        if self.kind == Kind::MemoryFull {
+            headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        }
         headers.insert(RUN_HEADER, HeaderValue::from_static(entry.run.as_str()));
         if let Advice::RetryAfter(millis) = entry.advice {
             headers.insert(http::header::RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000)));
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::controller;
 use crate::config::Settings;
+use crate::intake::{self, account, connections};
 use crate::metric::Metrics;
 use crate::platform::{self, Vm};
 use crate::timeline::{self, Subject};
@@ -38,6 +39,10 @@
     pub limits: controller::Limits,
     /// Limits the requests whose response has not begun, and thus the request bodies in memory.
     pub request_permits: Semaphore,
+    /// Bytes of request bodies and answers.
+    pub intake: account::Account,
+    /// Connections of callers.
+    pub connections: connections::Table,
     pub metrics: Metrics,
     pub timeline: Arc<timeline::Buffer>,
     pub retry_policy: retry::Policy,
@@ -69,6 +74,9 @@
 impl Node {
     pub fn new(settings: Settings) -> Node {
         let client = platform::Client::new(settings.platform, settings.timing.platform_timeout);
+        let limits = &settings.limits;
+        let resources = intake::Resources::find(limits.memory, limits.file_descriptors);
+        let connections = resources.connections(limits.header_bytes);
         let incarnation = claim::attempt::unix_ms();
         let timeline =
             timeline::Buffer::new(settings.node.clone(), incarnation, MAX_BUFFERED_EVENTS);
@@ -91,6 +99,8 @@
             admission: controller::Controllers::default(),
             limits: controller::Limits::default(),
             request_permits: Semaphore::new(settings.limits.in_flight),
+            intake: account::Account::new(resources.body_bytes()),
+            connections: connections::Table::new(connections),
             metrics: Metrics::new(),
             network: OnceLock::new(),
             next_number: AtomicU64::new(0),
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -20,6 +20,8 @@
         ("\"127.0.0.1:7510\"", "\"nowhere\"", "store"),
         ("\"node\": \"edge-a-1\"", "\"node\": \"\"", "node"),
         ("\"lease_ms\"", "\"leas_ms\"", "leas_ms"),
+        ("\"bounds\":", "\"memory_mb\": 1, \"bounds\":", "memory_mb"),
+        ("\"bounds\":", "\"file_descriptors\": \"few\", \"bounds\":", "file_descriptors"),
         ("\"127.0.0.1:7511\"", "\"\"", "duties"),
     ];
     for (valid, faulty, field) in cases {
