--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -164,7 +164,7 @@
     /// Latest time for the first token.
     pub deadline: Duration,
     /// Longest tolerated gap between two events of the service's streams; `None` leaves stalls out of the choice.
-    pub gap_aim: Option<Duration>,
+    pub gap_target: Option<Duration>,
 }
 
 /// An endpoint that may serve the request.
@@ -263,7 +263,7 @@
         now: Duration,
     ) -> Score {
         let ms = choice.predicted.as_secs_f64() * 1_000.0;
-        let Some(gap_aim) = job.gap_aim else {
+        let Some(gap_target) = job.gap_target else {
             return Score { is_tight: false, is_stalled: false, ms };
         };
         if now + choice.predicted > job.deadline {
@@ -274,7 +274,7 @@
         let pace = stall::Pace {
             tokens_per_ms: self.prefill_tokens_per_ms(service),
             factor: candidate.slowness,
-            gap_aim,
+            gap_target,
         };
         let (unread, own) = (total.unread_tokens, choice.load.unread_tokens);
         Score {
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -42,8 +42,6 @@
     pub anonymous: bool,
     /// Set if another endpoint may continue a stream after its last event.
     pub resumable: bool,
-    /// Longest time between two events of a stream for which the answer is on time; `None` if not declared.
-    pub gap_aim: Option<Duration>,
 }
 
 impl Route {
@@ -151,7 +149,7 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Tenant>>,
     /// Smallest declared gap aim of each service's routes.
-    gap_aims: HashMap<Arc<str>, Duration>,
+    gap_targets: HashMap<Arc<str>, Duration>,
 }
 
 impl From<Draft> for Catalog {
@@ -170,11 +168,11 @@
         limits: Limits,
     ) -> Catalog {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
-        let mut gap_aims: HashMap<Arc<str>, Duration> = HashMap::new();
+        let mut gap_targets: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
-            for (service, _) in route.gap_aim.iter().flat_map(|_| &route.services) {
-                let least = gap_aims.entry(service.clone()).or_insert(Duration::MAX);
-                *least = route.gap_aim.unwrap_or(*least).min(*least);
+            for (service, _) in route.gap_target.iter().flat_map(|_| &route.services) {
+                let least = gap_targets.entry(service.clone()).or_insert(Duration::MAX);
+                *least = route.gap_target.unwrap_or(*least).min(*least);
             }
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
@@ -188,7 +186,7 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Catalog { version, services, tenants, limits, routes: by_host, keys, gap_aims }
+        Catalog { version, services, tenants, limits, routes: by_host, keys, gap_targets }
     }
 
     /// Returns the route with the longest matching path prefix; `None` if the host or path has no route.
@@ -199,8 +197,8 @@
     }
 
     /// Returns the smallest gap aim that the routes of a service declare.
-    pub fn gap_aim(&self, service: &str) -> Option<Duration> {
-        self.gap_aims.get(service).copied()
+    pub fn gap_target(&self, service: &str) -> Option<Duration> {
+        self.gap_targets.get(service).copied()
     }
 
     /// Returns the tenant that owns an API key.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -517,7 +517,7 @@
         prompt: context.metadata.prompt.as_ref(),
         hash: context.hash,
         deadline,
-        gap_aim: catalog.as_ref().and_then(|it| it.gap_aim(&context.service)),
+        gap_target: catalog.as_ref().and_then(|it| it.gap_target(&context.service)),
     };
     let candidates = entries
         .iter()
--- a/src/gateway/stall.rs
+++ b/src/gateway/stall.rs
@@ -29,7 +29,7 @@
     pub tokens_per_ms: f64,
     /// Time that the endpoint takes relative to the service as it is usually.
     pub factor: f64,
-    pub gap_aim: Duration,
+    pub gap_target: Duration,
 }
 
 impl Pace {
@@ -43,7 +43,7 @@
     /// Returns the cost of the gap for one stream, which grows with its square: a gap far below the aim
     /// costs nothing, as only a longer one makes the answer late.
     fn stream_cost_ms(self, unread_tokens: f64) -> f64 {
-        let aim_ms = self.gap_aim.as_secs_f64() * 1_000.0;
+        let aim_ms = self.gap_target.as_secs_f64() * 1_000.0;
         let ratio = (self.gap_ms(unread_tokens) * SLOW_PHASE / aim_ms.max(1.0)).min(MAX_RATIO);
         STREAM_COST_MS * ratio * ratio
     }
@@ -59,6 +59,6 @@
     /// Returns whether the streams of an endpoint would stall for longer than the aim at its present pace.
     pub fn exceeds_aim(self, unread_tokens: u32, own_tokens: u32) -> bool {
         let tokens = f64::from(unread_tokens) + f64::from(own_tokens);
-        self.gap_ms(tokens) > self.gap_aim.as_secs_f64() * 1_000.0
+        self.gap_ms(tokens) > self.gap_target.as_secs_f64() * 1_000.0
     }
 }
--- a/tests/place_choice.rs
+++ b/tests/place_choice.rs
@@ -69,7 +69,7 @@
             prompt: Some(&prompt),
             hash: random.random(),
             deadline: Duration::MAX,
-            gap_aim: None,
+            gap_target: None,
         };
         let candidates: Vec<&Endpoint> = match policy {
             Policy::Balancer => endpoints.iter().collect(),
@@ -120,7 +120,7 @@
     for index in 0..90 {
         let prompt = prompt(5, index);
         let job =
-            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_aim: None };
+            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_target: None };
         let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
         let choice = balancer
             .choose(job, "a", candidates, Some(&ENGINE), time)
@@ -140,7 +140,7 @@
     let full = Load { requests: 32, unread_tokens: 0, memory_tokens: 0 };
     balancer.set_peer_loads([("e0".into(), full), ("e1".into(), full)].into_iter());
     let prompt = prompt(5, 1);
-    let job = Job { prompt: Some(&prompt), hash: 3, deadline: Duration::MAX, gap_aim: None };
+    let job = Job { prompt: Some(&prompt), hash: 3, deadline: Duration::MAX, gap_target: None };
     let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
     let choice = balancer.choose(job, "a", candidates, Some(&ENGINE), Duration::from_secs(1));
     assert_eq!(choice, Err(Overload::Full));
@@ -156,7 +156,7 @@
     for index in 0..40 {
         let prompt = prompt(index, index);
         let job =
-            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_aim: None };
+            Job { prompt: Some(&prompt), hash: index, deadline: Duration::MAX, gap_target: None };
         let candidates = endpoints.iter().enumerate().map(|(index, endpoint)| Candidate {
             endpoint,
             slowness: if index == 0 { 5.0 } else { 1.0 },
@@ -185,7 +185,7 @@
         prompt: Some(&prompt),
         hash: 3,
         deadline: now + Duration::from_secs(1),
-        gap_aim: None,
+        gap_target: None,
     };
     let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
     let choice = balancer.choose(job, "a", candidates, Some(&ENGINE), now).expect("an endpoint");
--- a/tests/stall_choice.rs
+++ b/tests/stall_choice.rs
@@ -30,6 +30,7 @@
         draining: false,
         reclaimable: true,
         leaves_in: None,
+        cold_for: None,
         started_ms: 0,
     }
 }
@@ -121,7 +122,7 @@
 }
 
 /// Simulates 12 s of requests, of which the first 3 s aren't counted; returns short and long prompts.
-fn simulate(gap_aim: Option<Duration>, seed: u64) -> [Count; 2] {
+fn simulate(gap_target: Option<Duration>, seed: u64) -> [Count; 2] {
     let mut random = SmallRng::seed_from_u64(seed);
     let all: Vec<_> = (0..ENDPOINTS).map(endpoint).collect();
     let mut servers: Vec<Server> = (0..ENDPOINTS).map(|_| Server::default()).collect();
@@ -180,7 +181,7 @@
         };
         let node = random.random_range(0..NODES);
         let deadline = time + Duration::from_millis(if is_long { 1_200 } else { 600 });
-        let job = Job { prompt: Some(&prompt), hash: random.random(), deadline, gap_aim };
+        let job = Job { prompt: Some(&prompt), hash: random.random(), deadline, gap_target };
         let candidates = all.iter().enumerate().map(|(index, endpoint)| Candidate {
             endpoint,
             slowness: health[node][index].slowness(),
@@ -212,9 +213,12 @@
 fn fewer_streams_stall() {
     let (mut late, mut late_firsts) = ([0.0; 2], [0; 2]);
     for seed in 100..106 {
-        for (index, gap_aim) in [None, Some(GAP_AIM)].into_iter().enumerate() {
-            let counts = simulate(gap_aim, seed);
-            println!("seed {seed}, aim {gap_aim:?}: short {:?}, long {:?}", counts[0], counts[1]);
+        for (index, gap_target) in [None, Some(GAP_AIM)].into_iter().enumerate() {
+            let counts = simulate(gap_target, seed);
+            println!(
+                "seed {seed}, aim {gap_target:?}: short {:?}, long {:?}",
+                counts[0], counts[1]
+            );
             late[index] += counts.iter().map(Count::late_share).sum::<f64>();
             late_firsts[index] += counts.iter().map(|it| it.late_first + it.refused).sum::<u32>();
         }
@@ -225,7 +229,7 @@
 }
 
 /// Chooses between an endpoint with streams and one with a few unread tokens for a prompt of 12,000 tokens.
-fn choose_between(gap_aim: Option<Duration>, time_left: Duration) -> Arc<str> {
+fn choose_between(gap_target: Option<Duration>, time_left: Duration) -> Arc<str> {
     let endpoints: Vec<_> = (0..2).map(|index| endpoint(index * 4)).collect();
     let mut balancer = Balancer::default();
     let streams = Load { requests: 24, unread_tokens: 0, memory_tokens: 0 };
@@ -233,7 +237,7 @@
     balancer.set_peer_loads([("e0".into(), streams), ("e4".into(), unread)].into_iter());
     let prompt = prompt((1, 0), (2, 12_000));
     let now = Duration::from_secs(100);
-    let job = Job { prompt: Some(&prompt), hash: 3, deadline: now + time_left, gap_aim };
+    let job = Job { prompt: Some(&prompt), hash: 3, deadline: now + time_left, gap_target };
     let candidates = endpoints.iter().map(|endpoint| Candidate { endpoint, slowness: 1.0 });
     let choice = balancer.choose(job, "a", candidates, Some(&ENGINE), now);
     choice.expect("an endpoint").endpoint
