Hold the lock of the crowd tests with an async mutex

Cause: clippy rejects a standard mutex that is held across an await.

Change: the lock that runs the crowd tests one at a time is tokio's. Crowds, bounds and checks are as before.

--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -4,9 +4,10 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::{Mutex, MutexGuard};
+
 /// Memory of the smallest VM, in kB; also the limit on the data of each process under test.
 pub const MEMORY_KB: u64 = 160_000;
 /// A quarter of it, for a crowd whose bytes fit while what they cost does not.
@@ -43,11 +44,11 @@
     Silent,
 }
 
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// Makes the tests of one binary run one at a time, as each loads the machine.
-pub fn alone() -> MutexGuard<'static, ()> {
-    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+pub async fn alone() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().await
 }
 
 /// Returns a command that runs a program with limited memory and descriptors.
--- a/tests/uncontrolled_callers.rs
+++ b/tests/uncontrolled_callers.rs
@@ -47,28 +47,28 @@
 /// Guards against bodies of legal size that exceed the memory together.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_large_bodies() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::Large, crowd::CALLERS, crowd::MEMORY_KB, crowd::DESCRIPTORS).await
 }
 
 /// Guards against chunked bodies of legal size that exceed the memory together.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_large_chunks() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::LargeChunks, crowd::CALLERS, crowd::MEMORY_KB, crowd::DESCRIPTORS).await
 }
 
 /// Guards against memory that grows with the number of chunks instead of their bytes.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_tiny_chunks() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::TinyChunks(100_000), crowd::CALLERS, crowd::QUARTER_KB, crowd::DESCRIPTORS).await
 }
 
 /// Guards against bodies that are kept although their announced length exceeds the limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_announced_excess() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::AnnouncedExcess(64 << 20), crowd::CALLERS, crowd::MEMORY_KB, crowd::DESCRIPTORS)
         .await
 }
@@ -76,13 +76,13 @@
 /// Guards against bodies without a length that are kept beyond the limit, or up to it all at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_sent_excess() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::SentExcess(64 << 20), crowd::CALLERS, crowd::MEMORY_KB, crowd::DESCRIPTORS).await
 }
 
 /// Guards against silent connections that take all descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_silent_crowd() -> Result {
-    let _alone = crowd::alone();
+    let _alone = crowd::alone().await;
     meet(Kind::Silent, 300, crowd::MEMORY_KB, crowd::FEW_DESCRIPTORS).await
 }
