Share a short service's room between tenants

Cause: waiting requests were ranked by priority and deadline only, so a tenant that sends several times its usual rate took the room of the others, and a request that may use one endpoint only blocked those behind it in the queue.

Change: gateway::share tracks what each tenant and class started and lacked in the last second. The queue ranks by priority (the tenant's, else the route's), the route's priority, the tenant's share and the deadline. A tenant or class that got nothing for a second goes first once. While others that used less lack room, a tenant above its max-min share is rejected instead of queued. A request for which endpoints were tried no longer blocks others. Without competing tenants the order is as before.

The tests of the queue pass the claim of one tenant instead of a bare priority; their assertions are unchanged.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,6 +41,7 @@
 pub mod roster;
 mod serve;
 pub mod settings;
+pub mod share;
 pub mod shift;
 pub mod statement;
 mod stop;
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -19,6 +19,7 @@
 use crate::gateway::queue;
 use crate::gateway::refusal::Cause;
 use crate::gateway::relay::Body;
+use crate::gateway::share::{self, Claim, Class};
 
 /// Longest wait for a request body; an earlier deadline of the request takes precedence.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -94,6 +95,18 @@
     }
 }
 
+impl Context {
+    /// Returns what the request asks of its service, after the endpoints that were tried.
+    pub fn claim(&self, tried: &[Arc<str>]) -> Claim {
+        Claim {
+            class: Class { priority: self.priority, route_priority: self.route.priority },
+            tenant: self.tenant.as_ref().map_or_else(|| Arc::from(""), |it| it.name.clone()),
+            work: share::work(self.metadata.prompt.as_ref()),
+            is_restricted: !tried.is_empty(),
+        }
+    }
+}
+
 impl Drop for Active {
     fn drop(&mut self) {
         self.node.active.set(self.node.active.get() - 1);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     quarantined_parts: Option<IntCounterVec>,
     limit_skips: Option<IntCounterVec>,
     held_back: Option<IntCounterVec>,
+    share_rejections: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
@@ -70,6 +71,11 @@
             "Requests that were placed on an endpoint and not written to it, by reason.",
             &["reason"],
         );
+        let share_rejections = counter(
+            "pomelolink_share_rejections_total",
+            "Requests rejected because their tenant had used its share of a short service, by service.",
+            &["service"],
+        );
         let restores = counter(
             "pomelolink_store_restores_total",
             "Restores of the platform's store from a copy that this node has seen.",
@@ -122,6 +128,7 @@
             quarantined_parts,
             limit_skips,
             held_back,
+            share_rejections,
             restores,
             platform_calls,
             node_gauges,
@@ -190,6 +197,12 @@
         }
     }
 
+    pub fn record_share_rejection(&self, service: &str) {
+        if let Some(share_rejections) = &self.share_rejections {
+            share_rejections.with_label_values(&[service]).inc();
+        }
+    }
+
     pub fn record_restore(&self) {
         if let Some(restores) = &self.restores {
             restores.with_label_values::<&str>(&[]).inc();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -22,6 +22,7 @@
 use crate::gateway::quota::Quotas;
 use crate::gateway::roster::Roster;
 use crate::gateway::settings::Settings;
+use crate::gateway::share::Share;
 use crate::gateway::shift::Shifts;
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics};
@@ -43,17 +44,18 @@
 }
 
 impl Waiters {
-    /// Wakes the first `count` requests in queue order.
+    /// Wakes the first `count` requests in queue order, and those before them that wait for an endpoint that
+    /// others don't need.
     pub fn wake(&self, count: usize) {
-        for rank in self.queue.ranks().take(count) {
+        for rank in self.queue.next(count) {
             if let Some(notifier) = self.notifiers.get(&rank.serial) {
                 notifier.notify_one();
             }
         }
     }
 
-    pub fn remove(&mut self, rank: &Rank) {
-        self.queue.remove(rank);
+    pub fn remove(&mut self, rank: &Rank, now: Duration) {
+        self.queue.remove(rank, now);
         self.notifiers.remove(&rank.serial);
     }
 }
@@ -288,6 +290,12 @@
         }
     }
 
+    /// Calls a function with the recent use of a service.
+    pub fn with_share<T>(&self, service: &Arc<str>, call: impl FnOnce(&mut Share) -> T) -> T {
+        let mut waiting = self.waiting.borrow_mut();
+        call(&mut waiting.entry(service.clone()).or_default().queue.share)
+    }
+
     /// Wakes all waiting requests, after the endpoints or their loads have changed.
     pub fn wake_all(&self) {
         for waiting in self.waiting.borrow().values() {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -20,6 +20,7 @@
 use crate::gateway::rate_limit::{Limits, Permit};
 use crate::gateway::refusal::Cause;
 use crate::gateway::roster::{self, Entry};
+use crate::gateway::share::Claim;
 use crate::gateway::verdict::{Conditions, Sample};
 
 /// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
@@ -168,7 +169,7 @@
 impl Drop for Waiter {
     fn drop(&mut self) {
         if let Some(waiting) = self.node.waiting.borrow_mut().get_mut(&self.service) {
-            waiting.remove(&self.rank);
+            waiting.remove(&self.rank, clock::now());
             // The capacity that this request didn't use is free for the next one.
             waiting.wake(1);
         }
@@ -187,12 +188,16 @@
 ) -> Result<Placement, Refusal> {
     let deadline = context.deadline.min(context.arrived + context.route.target_latency);
     let deadline = if tried.is_empty() { deadline } else { context.deadline };
+    let claim = context.claim(tried);
+    // A request whose tenant or class got nothing for too long is rather late than rejected.
+    let is_overdue = node.with_share(&context.service, |it| it.is_overdue(&claim, clock::now()));
+    let deadline = if is_overdue { context.deadline } else { deadline };
     let busy = |after| (Cause::Busy, Some(queue::jitter(after, context.hash)));
     let mut waiter: Option<Waiter> = None;
     loop {
         let now = clock::now();
         let mut next_permit = None;
-        let is_next = is_next(node, context, waiter.as_ref());
+        let is_next = is_next(node, context, &claim, waiter.as_ref(), now);
         match is_next.then(|| select(node, context, tried, deadline, now)) {
             Some(Selection::Endpoint(placement)) => {
                 log::info!(
@@ -224,6 +229,7 @@
                     late.as_millis(),
                     node.balancer.borrow().service_slowdown(&context.service, now)
                 );
+                record_rejection(node, context, &claim, now);
                 return Err(busy(late.max(MIN_OVERLOAD_RETRY_AFTER)));
             }
             Some(Selection::Limited(budget)) => {
@@ -253,9 +259,12 @@
             }
             None => {}
         }
+        if let Some(after) = refuse_above_share(node, context, &claim, now) {
+            return Err(busy(after));
+        }
         match &waiter {
             None => {
-                waiter = Some(enqueue(node, context, deadline, now).map_err(|after| {
+                waiter = Some(enqueue(node, context, &claim, deadline, now).map_err(|after| {
                     log::info!(
                         "place: event=queue_full id={} service={} time_left_ms={} advice_ms={}",
                         context.metadata.id,
@@ -263,6 +272,7 @@
                         deadline.saturating_sub(now).as_millis(),
                         after.as_millis()
                     );
+                    record_rejection(node, context, &claim, now);
                     busy(after)
                 })?);
             }
@@ -274,6 +284,7 @@
                     now.saturating_sub(context.arrived).as_millis(),
                     deadline.saturating_sub(now).as_millis()
                 );
+                record_rejection(node, context, &claim, now);
                 let waiting = node.waiting.borrow();
                 let after = waiting.get(&context.service).map(|it| it.queue.retry_after());
                 return Err(busy(after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER)));
@@ -319,15 +330,55 @@
 }
 
 /// Returns whether the request is the first to be served, or would be if it were queued.
-fn is_next(node: &Node, context: &Context, waiter: Option<&Waiter>) -> bool {
+fn is_next(
+    node: &Node,
+    context: &Context,
+    claim: &Claim,
+    waiter: Option<&Waiter>,
+    now: Duration,
+) -> bool {
     let waiting = node.waiting.borrow();
     let Some(waiting) = waiting.get(&context.service) else { return true };
     match waiter {
-        None => waiting.queue.is_first(context.priority),
-        Some(waiter) => waiting.queue.ranks().next() == Some(waiter.rank),
+        None => waiting.queue.is_first(claim, now),
+        Some(waiter) => waiting.queue.is_next(&waiter.rank),
     }
 }
 
+/// Records that a request is rejected for lack of room.
+fn record_rejection(node: &Node, context: &Context, claim: &Claim, now: Duration) {
+    node.with_share(&context.service, |share| {
+        share.record_lack(claim, now);
+        share.record_rejection(now);
+    });
+}
+
+/// Rejects a request that found no room if its tenant has used more than its share while others that used
+/// less lack room; returns the time after which the caller should retry.
+fn refuse_above_share(
+    node: &Node,
+    context: &Context,
+    claim: &Claim,
+    now: Duration,
+) -> Option<Duration> {
+    if !node.with_share(&context.service, |share| share.is_above(&claim.tenant, now)) {
+        return None;
+    }
+    record_rejection(node, context, claim, now);
+    let after = node.waiting.borrow().get(&context.service).map(|it| it.queue.retry_after());
+    let after = after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER);
+    log::info!(
+        "place: event=share_used id={} service={} tenant={} work={} advice_ms={}",
+        context.metadata.id,
+        context.service,
+        claim.tenant,
+        claim.work,
+        after.as_millis()
+    );
+    node.metrics.record_share_rejection(&context.service);
+    Some(after)
+}
+
 /// Returns whether a queued request is expected to miss its deadline.
 fn is_unservable(node: &Node, waiter: &Waiter, now: Duration) -> bool {
     let waiting = node.waiting.borrow();
@@ -342,12 +393,14 @@
 fn enqueue(
     node: &Rc<Node>,
     context: &Context,
+    claim: &Claim,
     deadline: Duration,
     now: Duration,
 ) -> Result<Waiter, Duration> {
     let mut all = node.waiting.borrow_mut();
     let waiting = all.entry(context.service.clone()).or_default();
-    let rank = waiting.queue.enqueue(context.priority, deadline, now)?;
+    let rank = waiting.queue.enqueue(claim, deadline, now)?;
+    waiting.queue.share.record_lack(claim, now);
     let notify = Rc::new(Notify::new());
     waiting.notifiers.insert(rank.serial, notify.clone());
     // An urgent request may push back others past their deadlines.
@@ -516,6 +569,7 @@
     drop(entries);
     drop(roster);
     balancer.start_request(&choice, job.prompt, now);
+    node.with_share(&context.service, |share| share.record_start(&context.claim(tried), now));
     let Choice { load, baseline, predicted, shows_prefill_rate, .. } = choice;
     let stated = &mut node.roster.borrow_mut().stated;
     let is_limit_paid = stated.limits.rate(&endpoint.id).is_some();
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -1,13 +1,15 @@
 //! Queue of requests that wait on a node for capacity at the endpoints of one service.
 //!
 //! It fills when a burst exceeds what the endpoints can run, or when a failure domain is lost.
-//! Requests are served by priority, then by deadline. A request is refused as soon as the rate at which
-//! capacity is released shows that it would miss its deadline, so that its caller can retry later
-//! or elsewhere; no request stays queued that can't be served in time.
+//! Requests are served by priority, then by the shares of their tenants ([`crate::gateway::share`]), then by deadline. A
+//! request is refused as soon as the rate at which capacity is released shows that it would miss its
+//! deadline, so that its caller can retry later or elsewhere; no request stays queued that can't be served
+//! in time.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::gateway::share::{Claim, Class, Share};
+
 /// Weight of the newest interval in the moving average of the time between two releases.
 const INTERVAL_WEIGHT: f64 = 0.1;
 /// Assumed time between two releases before any was observed.
@@ -16,21 +18,33 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// Sort key of a queued request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// A queued request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rank {
     /// 0 is the most urgent.
-    pub priority: u8,
+    pub class: Class,
     /// Time by which the request must be sent to an endpoint.
     pub deadline: Duration,
     /// Position in the order of arrival.
     pub serial: u64,
 }
 
-/// Queued requests of one service, in the order in which they are served.
+/// A request in the queue with what it asks for.
+#[derive(Debug)]
+struct Entry {
+    rank: Rank,
+    claim: Claim,
+}
+
+/// Queued requests of one service.
 #[derive(Debug)]
 pub struct Queue {
-    waiting: BTreeSet<Rank>,
+    /// In the order in which they are served.
+    waiting: Vec<Entry>,
+    /// Number of requests at the front whose tenant or class got nothing for too long.
+    overdue: usize,
+    /// Recent use of the service, which decides between tenants.
+    pub share: Share,
     serial: u64,
     /// Moving average of the time between two releases.
     interval: Duration,
@@ -42,7 +56,9 @@
 impl Default for Queue {
     fn default() -> Queue {
         Queue {
-            waiting: BTreeSet::new(),
+            waiting: Vec::new(),
+            overdue: 0,
+            share: Share::default(),
             serial: 0,
             interval: INITIAL_INTERVAL,
             last_release: None,
@@ -60,6 +76,7 @@
             self.interval = Duration::from_secs_f64(mean + (interval - mean) * INTERVAL_WEIGHT);
         }
         self.last_release = Some(now);
+        self.share.record_release(now);
     }
 
     /// Sets the least time between two requests that the rate limits of endpoints allow.
@@ -82,39 +99,72 @@
     /// Returns the time after which the caller should retry.
     pub fn enqueue(
         &mut self,
-        priority: u8,
+        claim: &Claim,
         deadline: Duration,
         now: Duration,
     ) -> Result<Rank, Duration> {
         self.serial += 1;
-        let rank = Rank { priority, deadline, serial: self.serial };
-        let ahead = self.waiting.range(..rank).count();
+        let rank = Rank { class: claim.class, deadline, serial: self.serial };
+        self.waiting.push(Entry { rank, claim: claim.clone() });
+        self.sort(now);
+        let ahead = self.waiting.iter().take_while(|entry| entry.rank != rank).count();
         if now + self.expected_wait(ahead) >= deadline {
+            self.remove(&rank, now);
             return Err(self.retry_after());
         }
-        self.waiting.insert(rank);
         Ok(rank)
     }
 
-    pub fn remove(&mut self, rank: &Rank) {
-        self.waiting.remove(rank);
+    pub fn remove(&mut self, rank: &Rank, now: Duration) {
+        self.waiting.retain(|entry| entry.rank != *rank);
+        self.sort(now);
+    }
+
+    /// Sorts the requests; the share of a tenant changes with each request that starts.
+    fn sort(&mut self, now: Duration) {
+        let key = |entry: &Entry| (entry.rank.deadline, entry.rank.serial);
+        self.overdue = self.share.sort(&mut self.waiting, |entry| &entry.claim, key, now);
+    }
+
+    /// Returns whether a new request would be served before all queued ones.
+    pub fn is_first(&self, claim: &Claim, now: Duration) -> bool {
+        let first = self.waiting.iter().position(|entry| !entry.claim.is_restricted);
+        first.is_none_or(|first| {
+            first >= self.overdue
+                && (claim.class < self.waiting[first].rank.class
+                    || self.share.is_overdue(claim, now))
+        })
     }
 
-    /// Returns whether a new request with this priority would be served before all queued ones.
-    pub fn is_first(&self, priority: u8) -> bool {
-        self.waiting.first().is_none_or(|first| priority < first.priority)
+    /// Returns whether a queued request is the next, apart from those that wait for an endpoint that others
+    /// don't need.
+    pub fn is_next(&self, rank: &Rank) -> bool {
+        let is_other_ahead = |entry: &&Entry| !entry.claim.is_restricted || entry.rank == *rank;
+        self.waiting.iter().find(is_other_ahead).is_some_and(|entry| entry.rank == *rank)
     }
 
     /// Returns the queued requests in the order in which they are served.
     pub fn ranks(&self) -> impl Iterator<Item = Rank> {
-        self.waiting.iter().copied()
+        self.waiting.iter().map(|entry| entry.rank)
+    }
+
+    /// Returns the first requests to try when some room was released: `count` of those that any endpoint
+    /// can serve, and the restricted ones before them.
+    pub fn next(&self, count: usize) -> impl Iterator<Item = Rank> {
+        let mut remaining = count;
+        let is_taken = move |entry: &&Entry| {
+            let is_taken = remaining > 0;
+            remaining -= usize::from(is_taken && !entry.claim.is_restricted);
+            is_taken
+        };
+        self.waiting.iter().take_while(is_taken).map(|entry| entry.rank)
     }
 
     /// Returns the requests that are expected to miss their deadline, to be refused now.
     pub fn unservable(&self, now: Duration) -> Vec<Rank> {
         let is_late =
-            |(ahead, rank): &(usize, &Rank)| now + self.expected_wait(*ahead) >= rank.deadline;
-        self.waiting.iter().enumerate().filter(is_late).map(|(_, rank)| *rank).collect()
+            |(ahead, rank): &(usize, Rank)| now + self.expected_wait(*ahead) >= rank.deadline;
+        self.ranks().enumerate().filter(is_late).map(|(_, rank)| rank).collect()
     }
 
     /// Returns the expected time until a request with `ahead` others before it is served.
--- a/tests/queue_refusals.rs
+++ b/tests/queue_refusals.rs
@@ -3,11 +3,18 @@
 use std::time::Duration;
 
 use pomelolink::gateway::queue::{self, Queue};
+use pomelolink::gateway::share::{Claim, Class};
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+/// Returns the claim of a request with a priority; all requests are those of one tenant.
+fn claim(priority: u8) -> Claim {
+    let class = Class { priority, route_priority: priority };
+    Claim { class, tenant: "t".into(), work: 1, is_restricted: false }
+}
+
 /// Returns a queue after 100 releases of capacity, one every `interval` milliseconds, and the time of the
 /// last release in milliseconds.
 fn queue_released_every(interval: u64) -> (Queue, u64) {
@@ -25,9 +32,9 @@
 fn unservable_refused_at_once() {
     let (mut queue, now) = queue_released_every(100);
     for _ in 0..10 {
-        queue.enqueue(1, at(now + 1_500), at(now)).expect("ten can be served in time");
+        queue.enqueue(&claim(1), at(now + 1_500), at(now)).expect("ten can be served in time");
     }
-    let refused = queue.enqueue(2, at(now + 1_000), at(now));
+    let refused = queue.enqueue(&claim(2), at(now + 1_000), at(now));
     let after = refused.expect_err("the eleventh, less urgent, would wait 1.1 s");
     assert!(after >= at(1_000), "retry advised before the queue can be served: {after:?}");
 }
@@ -36,21 +43,22 @@
 #[test]
 fn urgent_goes_first() {
     let (mut queue, now) = queue_released_every(10);
-    let later = queue.enqueue(2, at(now + 5_000), at(now)).expect("can be served in time");
-    let sooner = queue.enqueue(2, at(now + 4_000), at(now)).expect("can be served in time");
-    let urgent = queue.enqueue(0, at(now + 5_000), at(now)).expect("can be served in time");
+    let later = queue.enqueue(&claim(2), at(now + 5_000), at(now)).expect("can be served in time");
+    let sooner = queue.enqueue(&claim(2), at(now + 4_000), at(now)).expect("can be served in time");
+    let urgent = queue.enqueue(&claim(0), at(now + 5_000), at(now)).expect("can be served in time");
     assert_eq!(queue.ranks().collect::<Vec<_>>(), [urgent, sooner, later]);
-    assert!(!queue.is_first(0), "a queued request of equal priority goes first");
+    assert!(!queue.is_first(&claim(0), at(now)), "a queued request of equal priority goes first");
 }
 
 /// Guards against keeping requests queued that more urgent ones have pushed past their deadlines.
 #[test]
 fn displaced_are_refused() {
     let (mut queue, now) = queue_released_every(100);
-    let displaced = queue.enqueue(2, at(now + 350), at(now)).expect("can be served in time");
+    let displaced =
+        queue.enqueue(&claim(2), at(now + 350), at(now)).expect("can be served in time");
     assert!(queue.unservable(at(now)).is_empty());
     for _ in 0..3 {
-        queue.enqueue(0, at(now + 5_000), at(now)).expect("can be served in time");
+        queue.enqueue(&claim(0), at(now + 5_000), at(now)).expect("can be served in time");
     }
     assert_eq!(queue.unservable(at(now)), [displaced]);
 }
@@ -78,17 +86,17 @@
             let priority = ((step + request) % 3) as u8;
             offered[usize::from(priority)] += 1;
             // A refused caller doesn't retry here.
-            let _ = queue.enqueue(priority, at(now + 1_000), at(now));
+            let _ = queue.enqueue(&claim(priority), at(now + 1_000), at(now));
         }
         for rank in queue.unservable(at(now)) {
-            queue.remove(&rank);
+            queue.remove(&rank, at(now));
         }
         let next = queue.ranks().next();
         if let Some(rank) = next {
-            queue.remove(&rank);
+            queue.remove(&rank, at(now));
             queue.record_release(at(now));
             late += u32::from(rank.deadline < at(now));
-            served[usize::from(rank.priority)] += 1;
+            served[usize::from(rank.class.priority)] += 1;
         }
     }
     let total: u32 = served.iter().sum();
