Keep room for urgent requests while a service is short

Cause: while a service lacks room, less urgent requests took each slot that became free before an urgent one arrived.

Change: while a more urgent class found no room in the last second, less urgent requests leave an eighth of an endpoint's slots free for each rank of priority between them, at most a half; a tenant above its share counts as one rank less urgent. The room is kept only while those requests wait or were rejected in the last half second, so nothing is refused for room that nobody waits for. Idle endpoints stay available to all. Without shortage nothing is reserved.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -206,6 +206,24 @@
         candidates: impl Iterator<Item = Candidate<'a>> + Clone,
         engine: Option<&catalog::Engine>,
         now: Duration,
+    ) -> Result<Choice, Overload> {
+        self.choose_within(job, domain, candidates, engine, 0.0, now)
+    }
+
+    /// Chooses an endpoint as `choose` does, among those that have more than the reserved part of their slots
+    /// free.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as `choose`.
+    pub fn choose_within<'a>(
+        &self,
+        job: Job<'_>,
+        domain: &str,
+        candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+        engine: Option<&catalog::Engine>,
+        reserved: f64,
+        now: Duration,
     ) -> Result<Choice, Overload> {
         let affine = affine_endpoints(job, candidates.clone());
         let shuffled = shuffle(job.hash, domain, candidates);
@@ -216,7 +234,7 @@
             let mut best: Option<(f64, Choice)> = None;
             for candidate in sample.iter().chain(shuffled.iter().filter(is_affine)) {
                 let affinity = affine.iter().position(|id| *id == Some(&*candidate.endpoint.id));
-                match self.evaluate(job, affinity, candidate, engine, now) {
+                match self.evaluate(job, affinity, candidate, engine, reserved, now) {
                     Ok(choice) => {
                         let is_local = *candidate.endpoint.domain == *domain;
                         let penalty = if is_local { 0.0 } else { CROSS_DOMAIN_MS };
@@ -246,13 +264,14 @@
         affinity: Option<usize>,
         candidate: &Candidate<'_>,
         engine: Option<&catalog::Engine>,
+        reserved: f64,
         now: Duration,
     ) -> Result<Choice, Overload> {
         let endpoint = candidate.endpoint;
         let idle = Estimate::default();
         let estimate = self.estimates.get(&endpoint.id).unwrap_or(&idle);
         let load = request_load(job, estimate, affinity, now);
-        if !has_capacity(estimate, load, endpoint, engine) {
+        if !has_capacity(estimate, load, endpoint, engine, reserved) {
             return Err(Overload::Full);
         }
         let baseline = predict_first_event(estimate, load, endpoint, engine);
@@ -398,20 +417,24 @@
     }
 }
 
-/// Returns whether the endpoint has a free slot, and the engine the memory for the request.
+/// Returns whether the endpoint has a free slot beyond the reserved part, and the engine the memory for the request.
 fn has_capacity(
     estimate: &Estimate,
     load: Load,
     endpoint: &Endpoint,
     engine: Option<&catalog::Engine>,
+    reserved: f64,
 ) -> bool {
     let mut total = estimate.own;
     total.add(estimate.peers);
     let slots = f64::from(endpoint.slots);
-    let Some(engine) = engine else { return f64::from(total.requests) < slots };
+    let Some(engine) = engine else {
+        return f64::from(total.requests) < slots * (1.0 - reserved);
+    };
     let limit = engine.memory_tokens as f64 * MAX_MEMORY_SHARE;
     let memory = f64::from(total.memory_tokens) + f64::from(load.memory_tokens);
-    total.requests == 0 || f64::from(total.requests) < slots * MAX_SLOT_SHARE && memory < limit
+    total.requests == 0
+        || f64::from(total.requests) < slots * (MAX_SLOT_SHARE - reserved) && memory < limit
 }
 
 /// Predicts the time to the first event without any slowdown.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     limit_skips: Option<IntCounterVec>,
     held_back: Option<IntCounterVec>,
     share_rejections: Option<IntCounterVec>,
+    reservations: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
@@ -76,6 +77,11 @@
             "Requests rejected because their tenant had used its share of a short service, by service.",
             &["service"],
         );
+        let reservations = counter(
+            "pomelolink_reservations_total",
+            "Decisions that kept room free for more urgent requests of a short service, by service.",
+            &["service"],
+        );
         let restores = counter(
             "pomelolink_store_restores_total",
             "Restores of the platform's store from a copy that this node has seen.",
@@ -129,6 +135,7 @@
             limit_skips,
             held_back,
             share_rejections,
+            reservations,
             restores,
             platform_calls,
             node_gauges,
@@ -203,6 +210,12 @@
         }
     }
 
+    pub fn record_reserved(&self, service: &str) {
+        if let Some(reservations) = &self.reservations {
+            reservations.with_label_values(&[service]).inc();
+        }
+    }
+
     pub fn record_restore(&self) {
         if let Some(restores) = &self.restores {
             restores.with_label_values::<&str>(&[]).inc();
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -353,6 +353,13 @@
     });
 }
 
+/// Returns whether others want the room that a request leaves free. Room is kept free only for these, so that no
+/// request is refused while there is room that nothing waits for.
+fn is_room_wanted(node: &Node, service: &str, claim: &Claim, now: Duration) -> bool {
+    let waiting = node.waiting.borrow();
+    waiting.get(service).is_some_and(|it| it.queue.share.is_wanted(claim, now))
+}
+
 /// Rejects a request that found no room if its tenant has used more than its share while others that used
 /// less lack room; returns the time after which the caller should retry.
 fn refuse_above_share(
@@ -556,7 +563,27 @@
         .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
     let domain = &node.settings.failure_domain;
     let mut balancer = node.balancer.borrow_mut();
-    let choice = match balancer.choose(job, domain, candidates, engine.as_ref(), now) {
+    let claim = context.claim(tried);
+    let reserved = node.with_share(&context.service, |share| share.reserved(&claim, now));
+    let engine = engine.as_ref();
+    let mut choice = balancer.choose_within(job, domain, candidates.clone(), engine, reserved, now);
+    if reserved > 0.0 && choice.is_err() {
+        choice = match balancer.choose(job, domain, candidates, engine, now) {
+            // The reserved room is in time; the request waits for it to become free.
+            Ok(choice) if is_room_wanted(node, &context.service, &claim, now) => {
+                log::debug!(
+                    "place: event=reserved id={} service={} endpoint={} reserved={reserved:.3}",
+                    context.metadata.id,
+                    context.service,
+                    choice.endpoint
+                );
+                node.metrics.record_reserved(&context.service);
+                Err(Overload::Full)
+            }
+            other => other,
+        };
+    }
+    let choice = match choice {
         Ok(choice) => choice,
         Err(Overload::Late(late)) => return Selection::Late(late),
         Err(Overload::Full) => {
@@ -569,7 +596,7 @@
     drop(entries);
     drop(roster);
     balancer.start_request(&choice, job.prompt, now);
-    node.with_share(&context.service, |share| share.record_start(&context.claim(tried), now));
+    node.with_share(&context.service, |share| share.record_start(&claim, now));
     let Choice { load, baseline, predicted, shows_prefill_rate, .. } = choice;
     let stated = &mut node.roster.borrow_mut().stated;
     let is_limit_paid = stated.limits.rate(&endpoint.id).is_some();
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -21,6 +21,8 @@
 /// Time without a start after which a tenant or priority that lacks room goes first. With a heartbeat
 /// and the next release of room it stays within the bound of two seconds.
 const STARVED_AFTER: Duration = Duration::from_secs(1);
+/// Time after a request found no room for which reserved room is kept free; rejected callers retry meanwhile.
+const MAX_WANTED_AGE: Duration = Duration::from_millis(500);
 /// Work of an output token relative to a prompt token.
 const OUTPUT_TOKEN_WORK: u32 = 10;
 /// Part of an endpoint's slots that is reserved for each rank of priority, and at most.
@@ -342,6 +344,24 @@
             || self.others(now).any(|it| it.classes.iter().any(|(_, work)| work.lacked > 0))
     }
 
+    /// Returns whether others want the room that a request leaves free: more urgent requests found none in the
+    /// last half second at this node or wait at others, or its tenant is above its share.
+    pub fn is_wanted(&self, claim: &Claim, now: Duration) -> bool {
+        let is_recent = |usage: &Usage| {
+            now.saturating_sub(usage.lacked.updated_at) < MAX_WANTED_AGE
+                && usage.lacked.value(now) > 0.0
+        };
+        let mut more_urgent = self.classes.range(..claim.class);
+        let waits = |report: &Report| {
+            let mut classes = report.classes.iter();
+            report.waiting > 0
+                && classes.any(|(class, work)| *class < claim.class && work.lacked > 0)
+        };
+        more_urgent.any(|(_, usage)| is_recent(usage))
+            || self.others(now).any(waits)
+            || self.is_above(&claim.tenant, now)
+    }
+
     /// Returns the part of an endpoint's slots that a request leaves free for more urgent ones; 0 while no
     /// such request is short.
     pub fn reserved(&self, claim: &Claim, now: Duration) -> f64 {
--- a/tests/scarcity.rs
+++ b/tests/scarcity.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pomelolink::gateway::balancer::{Balancer, Candidate, Job, Load, Overload};
+use pomelolink::gateway::catalog::Engine;
+use pomelolink::gateway::platform::Endpoint;
 use pomelolink::gateway::queue::{Queue, Rank};
-use pomelolink::gateway::share::{Claim, Class};
+use pomelolink::gateway::share::{Claim, Class, Share};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -294,3 +297,47 @@
     expected.sort_by_key(|rank| (rank.class.priority, rank.deadline, rank.serial));
     assert_eq!(queue.ranks().collect::<Vec<_>>(), expected);
 }
+
+fn endpoint(slots: u32) -> Endpoint {
+    Endpoint {
+        id: "e".into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        domain: "a".into(),
+        version: "v1".into(),
+        slots,
+        draining: false,
+        reclaimable: true,
+        leaves_in: None,
+        started_ms: 0,
+    }
+}
+
+/// Guards against less urgent requests that fill the endpoints while urgent ones find no room, and against
+/// room that is kept free while nothing urgent is short.
+#[test]
+fn urgent_room_reserved() {
+    let mut share = Share::default();
+    let (urgent, other) = (claim(0, 0, "a"), claim(2, 2, "b"));
+    assert_eq!(share.reserved(&other, at(5_000)).to_bits(), 0.0_f64.to_bits());
+    share.record_start(&urgent, at(5_000));
+    share.record_start(&other, at(5_000));
+    share.record_lack(&urgent, at(5_000));
+    let reserved = [&urgent, &other, &claim(9, 9, "b")].map(|it| share.reserved(it, at(5_100)));
+    assert_eq!(reserved, [0.0, 0.25, 0.5]);
+    assert!(share.is_wanted(&other, at(5_100)) && !share.is_wanted(&urgent, at(5_100)));
+    let engine = Engine { slots: 12, memory_tokens: 100_000, supports_migration: false };
+    let endpoint = endpoint(12);
+    let mut balancer = Balancer::default();
+    let load = Load { requests: 8, ..Load::default() };
+    balancer.set_peer_loads([("e".into(), load)].into_iter());
+    let job = Job { prompt: None, hash: 1, deadline: Duration::MAX };
+    let choose = |engine: Option<&Engine>, reserved| {
+        let candidates = [Candidate { endpoint: &endpoint, slowness: 1.0 }].into_iter();
+        balancer.choose_within(job, "a", candidates, engine, reserved, at(5_100))
+    };
+    assert!(choose(Some(&engine), reserved[0]).is_ok() && choose(None, reserved[1]).is_ok());
+    assert_eq!(choose(Some(&engine), reserved[1]), Err(Overload::Full));
+    assert!(!share.is_wanted(&other, at(5_700)), "room kept free though nothing urgent came back");
+    assert_eq!(share.reserved(&other, at(6_200)).to_bits(), 0.0_f64.to_bits());
+}
