Judge shortage by the releases and rejections of all nodes

Cause: a node judged the wait in its queue by the average time between its own releases, so a node with few requests rejected too early or held too long, and its Retry-After ignored how many callers of other nodes come back.

Change: heartbeats carry for each service the releases, rejections and waiting requests of the last second, and what tenants and classes started and lacked while the service is short; digests carry the sums. The expected wait is the time between two releases over all nodes times the nodes with waiting requests. Retry-After spreads the callers over the time in which the releases serve those that wait or were rejected in the last second, within 0.15 to 4 s. Requests that end on a lost endpoint count as no release. Reports expire after a second; without any, a node goes by its own releases. HEARTBEAT_FORMAT is 17, DIGEST_FORMAT 18.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -23,6 +23,7 @@
 use crate::gateway::quarantine;
 use crate::gateway::quota;
 use crate::gateway::rate_limit::{self, Scope};
+use crate::gateway::share;
 use crate::gateway::shift;
 use crate::gateway::statement;
 
@@ -43,9 +44,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 15;
+const HEARTBEAT_FORMAT: u8 = 17;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 16;
+const DIGEST_FORMAT: u8 = 18;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -92,6 +93,8 @@
     /// Rate limits of endpoints that have changed or, in a full heartbeat, all that responses to the node
     /// have stated.
     limits: Vec<rate_limit::Report>,
+    /// Recent use of each service at this node, with tenants and classes while the service is short.
+    shares: Vec<(Arc<str>, share::Report)>,
 }
 
 /// What outlives the holder of the duties, and the store's memory of it.
@@ -135,6 +138,8 @@
     quarantine: quarantine::Report,
     /// Rate limits that responses to the nodes of the domain have stated.
     limits: Vec<rate_limit::Report>,
+    /// Recent use of each service at the nodes of the domain.
+    shares: Vec<(Arc<str>, share::Report)>,
 }
 
 impl Digest {
@@ -242,6 +247,7 @@
         rollouts: node.shifts.borrow().reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(scope, now),
+        shares: node.share_reports(false, now),
     }
 }
 
@@ -354,6 +360,7 @@
         rollouts: node.shifts.borrow().domain_reports(now),
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(Scope::Domain, now),
+        shares: node.share_reports(true, now),
     }
 }
 
@@ -462,6 +469,10 @@
     merge_quarantine(node, source.0, &heartbeat.quarantine, now);
     let delay = receipt.delay.unwrap_or_default();
     statement::apply_reports(node, source.0, &heartbeat.limits, false, delay);
+    let sent_at = now.saturating_sub(delay);
+    for (service, report) in heartbeat.shares {
+        node.with_share(&service, |share| share.set_peer(source.0, report, sent_at));
+    }
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
     let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
@@ -508,6 +519,9 @@
     node.shifts.borrow_mut().merge_peer(domain, start, digest.rollouts, now);
     merge_quarantine(node, &digest.node, &digest.quarantine, now);
     statement::apply_reports(node, &digest.node, &digest.limits, true, Duration::ZERO);
+    for (service, report) in digest.shares {
+        node.with_share(&service, |share| share.set_domain(domain, report, now));
+    }
     follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -22,7 +22,7 @@
 use crate::gateway::quota::Quotas;
 use crate::gateway::roster::Roster;
 use crate::gateway::settings::Settings;
-use crate::gateway::share::Share;
+use crate::gateway::share::{self, Share};
 use crate::gateway::shift::Shifts;
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics};
@@ -281,11 +281,13 @@
         self.unix_ms() / self.settings.bounds.report_window_ms()
     }
 
-    /// Records that an endpoint of a service has capacity again and wakes the next waiting request.
-    pub fn release_capacity(&self, service: &str) {
+    /// Wakes the next waiting request after a request has left its endpoint, and records whether this freed room.
+    pub fn release_capacity(&self, service: &str, has_freed_room: bool) {
         let mut waiting = self.waiting.borrow_mut();
         if let Some(waiting) = waiting.get_mut(service) {
-            waiting.queue.record_release(clock::now());
+            if has_freed_room {
+                waiting.queue.record_release(clock::now());
+            }
             waiting.wake(1);
         }
     }
@@ -296,6 +298,19 @@
         call(&mut waiting.entry(service.clone()).or_default().queue.share)
     }
 
+    /// Returns the recent use of each service at this node, or at its failure domain, leaving out idle ones.
+    pub fn share_reports(&self, of_domain: bool, now: Duration) -> Vec<(Arc<str>, share::Report)> {
+        let waiting = self.waiting.borrow();
+        let reports = waiting.iter().map(|(service, Waiters { queue, .. })| {
+            let report = match of_domain {
+                true => queue.share.domain_report(queue.len(), now),
+                false => queue.share.report(queue.len(), now),
+            };
+            (service.clone(), report)
+        });
+        reports.filter(|(_, report)| *report != share::Report::default()).collect()
+    }
+
     /// Wakes all waiting requests, after the endpoints or their loads have changed.
     pub fn wake_all(&self) {
         for waiting in self.waiting.borrow().values() {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -154,7 +154,11 @@
             self.record_sample(Sample::Start(self.elapsed(clock::now()).1));
         }
         self.node.balancer.borrow_mut().end_request(&self.endpoint.id, self.load);
-        self.node.release_capacity(&self.endpoint.service);
+        // The end of requests on a lost endpoint frees no room.
+        let is_usable = self.node.roster.try_borrow().is_ok_and(|roster| {
+            roster.get(&self.endpoint.id).is_some_and(|entry| entry.is_usable(clock::now()))
+        });
+        self.node.release_capacity(&self.endpoint.service, is_usable);
     }
 }
 
@@ -192,7 +196,7 @@
     // A request whose tenant or class got nothing for too long is rather late than rejected.
     let is_overdue = node.with_share(&context.service, |it| it.is_overdue(&claim, clock::now()));
     let deadline = if is_overdue { context.deadline } else { deadline };
-    let busy = |after| (Cause::Busy, Some(queue::jitter(after, context.hash)));
+    let busy = |after| (Cause::Busy, Some(queue::spread(after, context.hash)));
     let mut waiter: Option<Waiter> = None;
     loop {
         let now = clock::now();
@@ -230,7 +234,9 @@
                     node.balancer.borrow().service_slowdown(&context.service, now)
                 );
                 record_rejection(node, context, &claim, now);
-                return Err(busy(late.max(MIN_OVERLOAD_RETRY_AFTER)));
+                // Room is in time once this much work is done, and is shared with the others that come back.
+                let after = late + queue::spread(retry_after(node, context, now), context.hash);
+                return Err((Cause::Busy, Some(after.min(queue::MAX_RETRY_AFTER))));
             }
             Some(Selection::Limited(budget)) => {
                 let remaining = deadline.saturating_sub(now);
@@ -285,9 +291,7 @@
                     deadline.saturating_sub(now).as_millis()
                 );
                 record_rejection(node, context, &claim, now);
-                let waiting = node.waiting.borrow();
-                let after = waiting.get(&context.service).map(|it| it.queue.retry_after());
-                return Err(busy(after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER)));
+                return Err(busy(retry_after(node, context, now)));
             }
             Some(_) => {}
         }
@@ -345,6 +349,13 @@
     }
 }
 
+/// Returns the time over which callers that are rejected now come back.
+fn retry_after(node: &Node, context: &Context, now: Duration) -> Duration {
+    let waiting = node.waiting.borrow();
+    let after = waiting.get(&context.service).map(|it| it.queue.retry_after(now));
+    after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER)
+}
+
 /// Records that a request is rejected for lack of room.
 fn record_rejection(node: &Node, context: &Context, claim: &Claim, now: Duration) {
     node.with_share(&context.service, |share| {
@@ -372,8 +383,7 @@
         return None;
     }
     record_rejection(node, context, claim, now);
-    let after = node.waiting.borrow().get(&context.service).map(|it| it.queue.retry_after());
-    let after = after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER);
+    let after = retry_after(node, context, now);
     log::info!(
         "place: event=share_used id={} service={} tenant={} work={} advice_ms={}",
         context.metadata.id,
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -15,8 +15,8 @@
 /// Assumed time between two releases before any was observed.
 const INITIAL_INTERVAL: Duration = Duration::from_millis(50);
 /// Bounds of the advised time before a retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
 /// A queued request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,9 +108,9 @@
         self.waiting.push(Entry { rank, claim: claim.clone() });
         self.sort(now);
         let ahead = self.waiting.iter().take_while(|entry| entry.rank != rank).count();
-        if now + self.expected_wait(ahead) >= deadline {
+        if now + self.interval(now) * (ahead as u32 + 1) >= deadline {
             self.remove(&rank, now);
-            return Err(self.retry_after());
+            return Err(self.retry_after(now));
         }
         Ok(rank)
     }
@@ -162,22 +162,42 @@
 
     /// Returns the requests that are expected to miss their deadline, to be refused now.
     pub fn unservable(&self, now: Duration) -> Vec<Rank> {
+        let interval = self.interval(now);
         let is_late =
-            |(ahead, rank): &(usize, Rank)| now + self.expected_wait(*ahead) >= rank.deadline;
+            |(ahead, rank): &(usize, Rank)| now + interval * (*ahead as u32 + 1) >= rank.deadline;
         self.ranks().enumerate().filter(is_late).map(|(_, rank)| rank).collect()
     }
 
-    /// Returns the expected time until a request with `ahead` others before it is served.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        self.interval.max(self.min_interval) * (ahead as u32 + 1)
+    /// Returns the expected time between two waiting requests of this node that are served: the room that is
+    /// released at the endpoints goes to the nodes with waiting requests in equal parts. A node that hears
+    /// nothing from others goes by its own releases.
+    fn interval(&self, now: Duration) -> Duration {
+        let flow = self.share.flow(self.len(), now).filter(|_| self.share.has_reports(now));
+        let interval = flow.map_or(self.interval, |flow| {
+            Duration::from_secs(1) * flow.waiting_nodes / flow.releases
+        });
+        interval.max(self.min_interval)
     }
 
-    /// Returns the advised time before a retry: twice the time to serve the whole queue, within bounds.
-    pub fn retry_after(&self) -> Duration {
-        (self.expected_wait(self.waiting.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    /// Returns the time over which rejected callers come back: until the room that is released serves
+    /// the waiting requests and those that were rejected in the last second, within bounds. Without a
+    /// known release it is twice the time to serve this node's queue.
+    pub fn retry_after(&self, now: Duration) -> Duration {
+        let by_releases = self.share.flow(self.len(), now).map(|flow| {
+            let returning = flow.waiting.saturating_add(flow.rejections).saturating_add(1);
+            Duration::from_secs_f64(f64::from(returning) / f64::from(flow.releases))
+        });
+        let by_queue = || self.interval(now) * (self.len() as u32 + 1) * 2;
+        by_releases.unwrap_or_else(by_queue).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
 
+/// Spreads the return of rejected callers evenly over the time in which room becomes free for them.
+pub fn spread(retry_after: Duration, hash: u64) -> Duration {
+    let span = retry_after.saturating_sub(MIN_RETRY_AFTER);
+    MIN_RETRY_AFTER + span.mul_f64(fraction(hash))
+}
+
 /// Adds jitter to the time until an endpoint takes requests again: 1 to 1.25 times it, never less.
 pub fn delay(available_after: Duration, hash: u64) -> Duration {
     available_after.mul_f64(1.0 + 0.25 * fraction(hash))
--- a/tests/scarcity.rs
+++ b/tests/scarcity.rs
@@ -7,7 +7,7 @@
 use pomelolink::gateway::balancer::{Balancer, Candidate, Job, Load, Overload};
 use pomelolink::gateway::catalog::Engine;
 use pomelolink::gateway::platform::Endpoint;
-use pomelolink::gateway::queue::{Queue, Rank};
+use pomelolink::gateway::queue::{self, Queue, Rank};
 use pomelolink::gateway::share::{Claim, Class, Share};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -298,6 +298,42 @@
     assert_eq!(queue.ranks().collect::<Vec<_>>(), expected);
 }
 
+/// Guards against a node with few requests that judges the wait by its own few releases, and against advice
+/// that ignores how many others come back.
+#[test]
+fn wait_from_all_nodes() {
+    let mut queue = Queue::default();
+    let mut peer = Share::default();
+    for now in (0..3_000).step_by(1_000) {
+        queue.record_release(at(now));
+    }
+    for now in (2_000..3_000).step_by(10) {
+        peer.record_release(at(now));
+    }
+    let asked = claim(1, 1, "a");
+    let enqueue_many = |queue: &mut Queue| {
+        let ranks: Vec<_> =
+            (0..8).filter_map(|_| queue.enqueue(&asked, at(3_290), at(2_990)).ok()).collect();
+        ranks.iter().for_each(|rank| queue.remove(rank, at(2_990)));
+        ranks.len()
+    };
+    let few = enqueue_many(&mut queue);
+    queue.share.set_peer(&"n1".into(), peer.report(0, at(2_990)), at(2_990));
+    assert_eq!(enqueue_many(&mut queue), 8, "alone {few}");
+    assert!(few < 4, "own releases come once a second, but {few} were queued");
+    let calm = queue.retry_after(at(2_990));
+    for _ in 0..120 {
+        peer.record_lack(&asked, at(2_990));
+        peer.record_rejection(at(2_990));
+    }
+    queue.share.set_peer(&"n1".into(), peer.report(30, at(2_990)), at(2_990));
+    let after = queue.retry_after(at(2_990));
+    assert!(calm == at(150) && after > at(1_500), "{calm:?}, then {after:?}");
+    assert!(queue.share.is_short(at(2_990)) && !queue.share.is_short(at(5_000)));
+    let spread: Vec<_> = [0, u64::MAX / 2, u64::MAX].map(|hash| queue::spread(after, hash)).into();
+    assert!(spread[0] == at(150) && spread[2] <= after && spread[2] > after * 9 / 10);
+}
+
 fn endpoint(slots: u32) -> Endpoint {
     Endpoint {
         id: "e".into(),
