Assume less room on plain endpoints that reject as full

Cause: all nodes send to a plain endpoint by loads that are up to a heartbeat old, and kept sending to one that rejected them as full.

Change: a rejection that states that the request did not run lowers the room that the node assumes on a plain endpoint to the other requests that it knows to be in flight there; it rises by one request each 100 ms. Such a request no longer counts as a release of room. The retry is charged to the budget as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,6 +43,7 @@
 pub mod settings;
 pub mod share;
 pub mod shift;
+pub mod shortage;
 pub mod statement;
 mod stop;
 pub mod usage;
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -59,6 +59,10 @@
 /// Half-life of the slowdown, so that a service without responses is tried again.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Time after which one more request is assumed to fit on an endpoint that rejected one as full; loads of
+/// peers are at most this old where all nodes are direct peers.
+const ROOM_STEP: Duration = Duration::from_millis(100);
+
 /// Load of the requests that are in flight to an endpoint.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
@@ -119,6 +123,23 @@
     /// Load from all peers, as they last reported it.
     peers: Load,
     cache: Cache,
+    /// Room that is assumed after the endpoint rejected a request as full.
+    room: Option<Room>,
+}
+
+/// Number of requests that an endpoint was found to take, and when.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    requests: u32,
+    found_at: Duration,
+}
+
+impl Room {
+    /// Returns the number of requests that the endpoint is assumed to take; it rises in small steps.
+    fn at(self, now: Duration) -> u32 {
+        let steps = now.saturating_sub(self.found_at).as_millis() / ROOM_STEP.as_millis();
+        self.requests.saturating_add(u32::try_from(steps).unwrap_or(u32::MAX))
+    }
 }
 
 /// Moving averages of the observed and the baseline time to the first event over all endpoints of a
@@ -271,7 +292,7 @@
         let idle = Estimate::default();
         let estimate = self.estimates.get(&endpoint.id).unwrap_or(&idle);
         let load = request_load(job, estimate, affinity, now);
-        if !has_capacity(estimate, load, endpoint, engine, reserved) {
+        if !has_capacity(estimate, load, endpoint, engine, reserved, now) {
             return Err(Overload::Full);
         }
         let baseline = predict_first_event(estimate, load, endpoint, engine);
@@ -358,6 +379,16 @@
         }
     }
 
+    /// Lowers the room that is assumed on an endpoint, which has rejected a request in flight as full: the other
+    /// known requests fill it. Returns the room.
+    pub fn record_full(&mut self, endpoint: &str, now: Duration) -> u32 {
+        let Some(estimate) = self.estimates.get_mut(endpoint) else { return 0 };
+        let known = (estimate.own.requests + estimate.peers.requests).saturating_sub(1);
+        let requests = estimate.room.map_or(known, |room| known.min(room.at(now)));
+        estimate.room = Some(Room { requests, found_at: now });
+        requests
+    }
+
     /// Replaces the loads that the peers reported; loads for one endpoint add up.
     pub fn set_peer_loads(&mut self, loads: impl Iterator<Item = (Arc<str>, Load)>) {
         for estimate in self.estimates.values_mut() {
@@ -386,9 +417,10 @@
         load
     }
 
-    /// Clears the cache estimate of an endpoint, which has restarted.
+    /// Clears the estimates of the cache and the room of an endpoint, which has restarted.
     pub fn clear_cache(&mut self, endpoint: &str) {
         if let Some(estimate) = self.estimates.get_mut(endpoint) {
+            estimate.room = None;
             estimate.cache = Cache::default();
         }
     }
@@ -424,12 +456,14 @@
     endpoint: &Endpoint,
     engine: Option<&catalog::Engine>,
     reserved: f64,
+    now: Duration,
 ) -> bool {
     let mut total = estimate.own;
     total.add(estimate.peers);
     let slots = f64::from(endpoint.slots);
     let Some(engine) = engine else {
-        return f64::from(total.requests) < slots * (1.0 - reserved);
+        return f64::from(total.requests) < slots * (1.0 - reserved)
+            && estimate.room.is_none_or(|room| total.requests < room.at(now));
     };
     let limit = engine.memory_tokens as f64 * MAX_MEMORY_SHARE;
     let memory = f64::from(total.memory_tokens) + f64::from(load.memory_tokens);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -400,7 +400,7 @@
         return Attempt::Unknown("response carries the id of another request".to_owned());
     }
     if reply.is_not_run {
-        placement.ignore_response();
+        placement.record_rejection();
         let status = response.status();
         drain_body(response.into_body(), guard).await;
         return Attempt::Refused(format!("status {}", status.as_u16()));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     held_back: Option<IntCounterVec>,
     share_rejections: Option<IntCounterVec>,
     reservations: Option<IntCounterVec>,
+    full_rejections: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
@@ -82,6 +83,11 @@
             "Decisions that kept room free for more urgent requests of a short service, by service.",
             &["service"],
         );
+        let full_rejections = counter(
+            "pomelolink_full_rejections_total",
+            "Requests that plain endpoints rejected as full, by service.",
+            &["service"],
+        );
         let restores = counter(
             "pomelolink_store_restores_total",
             "Restores of the platform's store from a copy that this node has seen.",
@@ -136,6 +142,7 @@
             held_back,
             share_rejections,
             reservations,
+            full_rejections,
             restores,
             platform_calls,
             node_gauges,
@@ -216,6 +223,12 @@
         }
     }
 
+    pub fn record_full(&self, service: &str) {
+        if let Some(full_rejections) = &self.full_rejections {
+            full_rejections.with_label_values(&[service]).inc();
+        }
+    }
+
     pub fn record_restore(&self) {
         if let Some(restores) = &self.restores {
             restores.with_label_values::<&str>(&[]).inc();
@@ -250,6 +263,9 @@
         set("store_era", node.store_era.get().map_or(-1, |era| era as i64));
         set("limited_endpoints", node.roster.borrow().stated.limited_count() as i64);
         set("holds_duties", i64::from(node.holds_duties.get()));
+        let is_short = |it: &&crate::gateway::node::Waiters| it.queue.share.is_short(now);
+        let short = node.waiting.borrow().values().filter(is_short).count();
+        set("short_services", short as i64);
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,6 +21,7 @@
 use crate::gateway::refusal::Cause;
 use crate::gateway::roster::{self, Entry};
 use crate::gateway::share::Claim;
+use crate::gateway::shortage;
 use crate::gateway::verdict::{Conditions, Sample};
 
 /// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
@@ -59,6 +60,8 @@
     /// further attempts tell no more about a version.
     is_first: bool,
     has_started: Cell<bool>,
+    /// Whether the endpoint rejected the request as full, so that its end frees no room.
+    is_rejected: Cell<bool>,
     /// Whether the endpoint has the request and neither a response nor a failure has been recorded.
     is_awaited: Cell<bool>,
 }
@@ -100,6 +103,23 @@
         self.is_awaited.set(false);
     }
 
+    /// Records that the endpoint rejected the request without running it. A plain endpoint is full then, by
+    /// requests of which this node doesn't know yet.
+    pub fn record_rejection(&self) {
+        self.ignore_response();
+        self.is_rejected.set(true);
+        let Endpoint { id, service, .. } = &self.endpoint;
+        let catalog = self.node.catalog();
+        let is_plain = catalog
+            .and_then(|catalog| Some(catalog.services.get(service)?.engine.is_none()))
+            .unwrap_or(false);
+        if is_plain {
+            let room = self.node.balancer.borrow_mut().record_full(id, clock::now());
+            log::info!("place: event=endpoint_full endpoint={id} service={service} room={room}");
+            self.node.metrics.record_full(service);
+        }
+    }
+
     /// Counts a sample for the endpoint's version, as evidence for a roll-out.
     fn record_sample(&self, sample: Sample) {
         self.is_awaited.set(false);
@@ -154,11 +174,12 @@
             self.record_sample(Sample::Start(self.elapsed(clock::now()).1));
         }
         self.node.balancer.borrow_mut().end_request(&self.endpoint.id, self.load);
-        // The end of requests on a lost endpoint frees no room.
-        let is_usable = self.node.roster.try_borrow().is_ok_and(|roster| {
-            roster.get(&self.endpoint.id).is_some_and(|entry| entry.is_usable(clock::now()))
-        });
-        self.node.release_capacity(&self.endpoint.service, is_usable);
+        // Neither the end of a request on a lost endpoint nor a rejection frees room.
+        let has_freed_room = !self.is_rejected.get()
+            && self.node.roster.try_borrow().is_ok_and(|roster| {
+                roster.get(&self.endpoint.id).is_some_and(|entry| entry.is_usable(clock::now()))
+            });
+        self.node.release_capacity(&self.endpoint.service, has_freed_room);
     }
 }
 
@@ -233,9 +254,10 @@
                     late.as_millis(),
                     node.balancer.borrow().service_slowdown(&context.service, now)
                 );
-                record_rejection(node, context, &claim, now);
+                shortage::record_rejection(node, context, &claim, now);
                 // Room is in time once this much work is done, and is shared with the others that come back.
-                let after = late + queue::spread(retry_after(node, context, now), context.hash);
+                let after =
+                    late + queue::spread(shortage::retry_after(node, context, now), context.hash);
                 return Err((Cause::Busy, Some(after.min(queue::MAX_RETRY_AFTER))));
             }
             Some(Selection::Limited(budget)) => {
@@ -265,7 +287,7 @@
             }
             None => {}
         }
-        if let Some(after) = refuse_above_share(node, context, &claim, now) {
+        if let Some(after) = shortage::refuse_above_share(node, context, &claim, now) {
             return Err(busy(after));
         }
         match &waiter {
@@ -278,7 +300,7 @@
                         deadline.saturating_sub(now).as_millis(),
                         after.as_millis()
                     );
-                    record_rejection(node, context, &claim, now);
+                    shortage::record_rejection(node, context, &claim, now);
                     busy(after)
                 })?);
             }
@@ -290,8 +312,8 @@
                     now.saturating_sub(context.arrived).as_millis(),
                     deadline.saturating_sub(now).as_millis()
                 );
-                record_rejection(node, context, &claim, now);
-                return Err(busy(retry_after(node, context, now)));
+                shortage::record_rejection(node, context, &claim, now);
+                return Err(busy(shortage::retry_after(node, context, now)));
             }
             Some(_) => {}
         }
@@ -349,53 +371,6 @@
     }
 }
 
-/// Returns the time over which callers that are rejected now come back.
-fn retry_after(node: &Node, context: &Context, now: Duration) -> Duration {
-    let waiting = node.waiting.borrow();
-    let after = waiting.get(&context.service).map(|it| it.queue.retry_after(now));
-    after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER)
-}
-
-/// Records that a request is rejected for lack of room.
-fn record_rejection(node: &Node, context: &Context, claim: &Claim, now: Duration) {
-    node.with_share(&context.service, |share| {
-        share.record_lack(claim, now);
-        share.record_rejection(now);
-    });
-}
-
-/// Returns whether others want the room that a request leaves free. Room is kept free only for these, so that no
-/// request is refused while there is room that nothing waits for.
-fn is_room_wanted(node: &Node, service: &str, claim: &Claim, now: Duration) -> bool {
-    let waiting = node.waiting.borrow();
-    waiting.get(service).is_some_and(|it| it.queue.share.is_wanted(claim, now))
-}
-
-/// Rejects a request that found no room if its tenant has used more than its share while others that used
-/// less lack room; returns the time after which the caller should retry.
-fn refuse_above_share(
-    node: &Node,
-    context: &Context,
-    claim: &Claim,
-    now: Duration,
-) -> Option<Duration> {
-    if !node.with_share(&context.service, |share| share.is_above(&claim.tenant, now)) {
-        return None;
-    }
-    record_rejection(node, context, claim, now);
-    let after = retry_after(node, context, now);
-    log::info!(
-        "place: event=share_used id={} service={} tenant={} work={} advice_ms={}",
-        context.metadata.id,
-        context.service,
-        claim.tenant,
-        claim.work,
-        after.as_millis()
-    );
-    node.metrics.record_share_rejection(&context.service);
-    Some(after)
-}
-
 /// Returns whether a queued request is expected to miss its deadline.
 fn is_unservable(node: &Node, waiter: &Waiter, now: Duration) -> bool {
     let waiting = node.waiting.borrow();
@@ -580,7 +555,7 @@
     if reserved > 0.0 && choice.is_err() {
         choice = match balancer.choose(job, domain, candidates, engine, now) {
             // The reserved room is in time; the request waits for it to become free.
-            Ok(choice) if is_room_wanted(node, &context.service, &claim, now) => {
+            Ok(choice) if shortage::is_room_wanted(node, &context.service, &claim, now) => {
                 log::debug!(
                     "place: event=reserved id={} service={} endpoint={} reserved={reserved:.3}",
                     context.metadata.id,
@@ -627,6 +602,7 @@
         ),
         is_first: tried.is_empty(),
         has_started: Cell::new(false),
+        is_rejected: Cell::new(false),
         is_awaited: Cell::new(false),
     })
 }
--- a/tests/scarcity.rs
+++ b/tests/scarcity.rs
@@ -377,3 +377,28 @@
     assert!(!share.is_wanted(&other, at(5_700)), "room kept free though nothing urgent came back");
     assert_eq!(share.reserved(&other, at(6_200)).to_bits(), 0.0_f64.to_bits());
 }
+
+/// Guards against nodes with stale loads that keep sending to a plain endpoint which rejects them as full, and
+/// against one that is avoided for long afterwards.
+#[test]
+fn full_lowers_room() {
+    let endpoint = endpoint(6);
+    let mut balancer = Balancer::default();
+    let job = Job { prompt: None, hash: 1, deadline: Duration::MAX };
+    let choose = |balancer: &Balancer, ms| {
+        let candidates = [Candidate { endpoint: &endpoint, slowness: 1.0 }].into_iter();
+        balancer.choose(job, "a", candidates, None, at(ms))
+    };
+    for _ in 0..3 {
+        let choice = choose(&balancer, 1_000).expect("room");
+        balancer.start_request(&choice, None, at(1_000));
+    }
+    assert_eq!(balancer.record_full("e", at(1_000)), 2);
+    balancer.end_request("e", Load { requests: 1, ..Load::default() });
+    assert_eq!(choose(&balancer, 1_050), Err(Overload::Full));
+    assert!(choose(&balancer, 1_100).is_ok(), "a free slot isn't tried again");
+    let load = Load { requests: 3, ..Load::default() };
+    balancer.set_peer_loads([("e".into(), load)].into_iter());
+    assert_eq!(choose(&balancer, 1_300), Err(Overload::Full));
+    assert!(choose(&balancer, 1_400).is_ok(), "the room doesn't rise to the declared slots");
+}
