--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,7 +25,8 @@
     NoEndpoint,
     /// The process is shutting down.
     Stopping,
-    /// The request would miss its deadline in the queue or at the endpoints.
+    /// The request would miss its deadline in the queue or at the endpoints, or its tenant is above its share
+    /// of a short service.
     Busy,
     /// All endpoints have named rate limits, and these are used up.
     Limited,
@@ -89,8 +90,8 @@
             Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
             Cause::Stopping => "the node was shutting down",
             Cause::Busy => {
-                "it would have missed the target latency of its route, in the queue or at the endpoints; \
-                 see queue_full, queue_late or crowded"
+                "it would have missed the target latency of its route, in the queue or at the endpoints, or its \
+                 tenant had used more than its share; see queue_full, queue_late, crowded or share_used"
             }
             Cause::Limited => {
                 "its service's endpoints had named rate limits, which were used up; see limits_used"
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -359,7 +359,7 @@
         };
         more_urgent.any(|(_, usage)| is_recent(usage))
             || self.others(now).any(waits)
-            || self.is_above(&claim.tenant, now)
+            || self.is_above(claim, now)
     }
 
     /// Returns the part of an endpoint's slots that a request leaves free for more urgent ones; 0 while no
@@ -375,14 +375,14 @@
         let mut short = totals.classes.iter().filter(|(_, work)| work.lacked > 0);
         let below = short.next().map_or(0, |(urgent, _)| claim.class.ranks_below(*urgent));
         // A tenant above its share yields to the others of its class as to a more urgent one.
-        let ranks = f64::from(below) + f64::from(u8::from(is_above(&totals, &claim.tenant)));
+        let ranks = f64::from(below) + f64::from(u8::from(is_above(&totals, claim)));
         (ranks * RESERVED_PER_RANK).min(MAX_RESERVED)
     }
 
     /// Returns whether a tenant has used more than its max-min share while another one lacks room that has
     /// used less.
-    pub fn is_above(&self, tenant: &str, now: Duration) -> bool {
-        self.is_short(now) && is_above(&self.totals(0, now), tenant)
+    pub fn is_above(&self, claim: &Claim, now: Duration) -> bool {
+        self.is_short(now) && is_above(&self.totals(0, now), claim)
     }
 
     /// Returns whether the tenant or the class of a request got nothing for too long.
@@ -468,14 +468,16 @@
     }
 }
 
-fn is_above(totals: &Totals, tenant: &str) -> bool {
+fn is_above(totals: &Totals, claim: &Claim) -> bool {
+    let Claim { tenant, work, .. } = claim;
     let Some(own) = totals.tenants.get(tenant) else { return false };
     let level = fair_level(totals.tenants.values());
     let started = f64::from(own.started);
     let is_wanted = |(name, work): (&Arc<str>, &Work)| {
-        **name != *tenant && work.lacked > 0 && f64::from(work.started) < level
+        *name != *tenant && work.lacked > 0 && f64::from(work.started) < level
     };
-    started > level * SHARE_SLACK && totals.tenants.iter().any(is_wanted)
+    // One request beyond the share is tolerated, since large ones exceed it by themselves.
+    started > level * SHARE_SLACK + f64::from(*work) && totals.tenants.iter().any(is_wanted)
 }
 
 /// Returns the max-min share of the work that was started: what each tenant that wants at least as much gets.
--- a/src/gateway/shortage.rs
+++ b/src/gateway/shortage.rs
@@ -41,7 +41,7 @@
     claim: &Claim,
     now: Duration,
 ) -> Option<Duration> {
-    if !node.with_share(&context.service, |share| share.is_above(&claim.tenant, now)) {
+    if !node.with_share(&context.service, |share| share.is_above(claim, now)) {
         return None;
     }
     record_rejection(node, context, claim, now);
