--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -24,9 +24,6 @@
 use crate::gateway::shortage;
 use crate::gateway::verdict::{Conditions, Sample};
 
-/// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
-/// times a second.
-const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Advised time before a retry when a service has no endpoint; new ones take seconds to start.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Part of the time until a request's deadline that it may wait for the rate limits of endpoints.
@@ -265,7 +262,7 @@
                 if budget.next > remaining.mul_f64(MAX_LIMIT_WAIT_SHARE) {
                     return Err(refuse_limited(node, context, budget, now));
                 }
-                set_min_interval(node, context, budget.interval);
+                shortage::set_min_interval(node, context, budget.interval);
                 next_permit = Some(budget.next);
             }
             Some(Selection::Paused(wait)) => {
@@ -278,11 +275,11 @@
                     );
                     return Err((Cause::Paused, Some(queue::delay(wait, context.hash))));
                 }
-                set_min_interval(node, context, Duration::ZERO);
+                shortage::set_min_interval(node, context, Duration::ZERO);
                 next_permit = Some(wait);
             }
             Some(Selection::Full(next)) => {
-                set_min_interval(node, context, Duration::ZERO);
+                shortage::set_min_interval(node, context, Duration::ZERO);
                 next_permit = next;
             }
             None => {}
@@ -326,13 +323,6 @@
     }
 }
 
-/// Sets the least time between two requests of a service that the rate limits of its endpoints allow.
-fn set_min_interval(node: &Node, context: &Context, interval: Duration) {
-    if let Some(waiting) = node.waiting.borrow_mut().get_mut(&context.service) {
-        waiting.queue.set_min_interval(interval);
-    }
-}
-
 /// Refuses a request because the rate limits of all endpoints are used up. All nodes hand out times to come
 /// back, so that callers return as fast as the endpoints take them.
 fn refuse_limited(node: &Node, context: &Context, budget: Budget, now: Duration) -> Refusal {
@@ -341,7 +331,7 @@
         &context.service,
         budget.rate,
         nodes,
-        MIN_OVERLOAD_RETRY_AFTER,
+        shortage::MIN_RETRY_AFTER,
         now,
     );
     log::info!(
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -1,10 +1,10 @@
 //! Queue of requests that wait on a node for capacity at the endpoints of one service.
 //!
 //! It fills when a burst exceeds what the endpoints can run, or when a failure domain is lost.
-//! Requests are served by priority, then by the shares of their tenants ([`crate::gateway::share`]), then by deadline. A
-//! request is refused as soon as the rate at which capacity is released shows that it would miss its
-//! deadline, so that its caller can retry later or elsewhere; no request stays queued that can't be served
-//! in time.
+//! Requests are served by priority, then by the shares of their tenants, then by deadline; see
+//! [`crate::gateway::share`]. A request is refused as soon as the rate at which capacity is released shows that
+//! it would miss its deadline, so that its caller can retry later or elsewhere; no request stays queued that
+//! can't be served in time.
 
 use std::time::Duration;
 
--- a/src/gateway/shortage.rs
+++ b/src/gateway/shortage.rs
@@ -57,3 +57,10 @@
     node.metrics.record_share_rejection(&context.service);
     Some(after)
 }
+
+/// Sets the least time between two requests of a service that the rate limits of its endpoints allow.
+pub fn set_min_interval(node: &Node, context: &Context, interval: Duration) {
+    if let Some(waiting) = node.waiting.borrow_mut().get_mut(&context.service) {
+        waiting.queue.set_min_interval(interval);
+    }
+}
