--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,9 @@
     quarantined_parts: Option<IntCounterVec>,
     limit_skips: Option<IntCounterVec>,
     held_back: Option<IntCounterVec>,
+    share_rejections: Option<IntCounterVec>,
+    reservations: Option<IntCounterVec>,
+    full_rejections: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
     snapshot_writes: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
@@ -73,6 +76,21 @@
             "Requests that were placed on an endpoint and not written to it, by reason.",
             &["reason"],
         );
+        let share_rejections = counter(
+            "pomelolink_share_rejections_total",
+            "Requests rejected because their tenant had used its share of a short service, by service.",
+            &["service"],
+        );
+        let reservations = counter(
+            "pomelolink_reservations_total",
+            "Decisions that kept room free for more urgent requests of a short service, by service.",
+            &["service"],
+        );
+        let full_rejections = counter(
+            "pomelolink_full_rejections_total",
+            "Requests that plain endpoints rejected as full, by service.",
+            &["service"],
+        );
         let restores = counter(
             "pomelolink_store_restores_total",
             "Restores of the platform's store from a copy that this node has seen.",
@@ -140,6 +158,9 @@
             quarantined_parts,
             limit_skips,
             held_back,
+            share_rejections,
+            reservations,
+            full_rejections,
             restores,
             snapshot_writes,
             platform_calls,
@@ -211,6 +232,24 @@
         }
     }
 
+    pub fn record_share_rejection(&self, service: &str) {
+        if let Some(share_rejections) = &self.share_rejections {
+            share_rejections.with_label_values(&[service]).inc();
+        }
+    }
+
+    pub fn record_reserved(&self, service: &str) {
+        if let Some(reservations) = &self.reservations {
+            reservations.with_label_values(&[service]).inc();
+        }
+    }
+
+    pub fn record_full(&self, service: &str) {
+        if let Some(full_rejections) = &self.full_rejections {
+            full_rejections.with_label_values(&[service]).inc();
+        }
+    }
+
     pub fn record_restore(&self) {
         if let Some(restores) = &self.restores {
             restores.with_label_values::<&str>(&[]).inc();
@@ -269,6 +308,9 @@
         set("connections_limit", connections.limit() as i64);
         set("connections_closed_for_others", connections.closed as i64);
         drop(connections);
+        let is_short = |it: &&crate::gateway::node::Waiters| it.queue.share.is_short(now);
+        let short = node.waiting.borrow().values().filter(is_short).count();
+        set("short_services", short as i64);
         self.set_labeled_gauges(node, now);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,12 +21,11 @@
 use crate::gateway::rate_limit::Permit;
 use crate::gateway::refusal::Cause;
 use crate::gateway::roster::{self, Entry};
+use crate::gateway::share::Claim;
+use crate::gateway::shortage;
 use crate::gateway::statement::Memory;
 use crate::gateway::verdict::{Conditions, Sample};
 
-/// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
-/// times a second.
-const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Advised time before a retry when a service has no endpoint; new ones take seconds to start.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Part of the time until a request's deadline that it may wait for the rate limits of endpoints.
@@ -62,6 +61,8 @@
     /// further attempts tell no more about a version.
     is_first: bool,
     has_started: Cell<bool>,
+    /// Whether the endpoint rejected the request as full, so that its end frees no room.
+    is_rejected: Cell<bool>,
     /// Whether the endpoint has the request and neither a response nor a failure has been recorded.
     is_awaited: Cell<bool>,
 }
@@ -103,6 +104,23 @@
         self.is_awaited.set(false);
     }
 
+    /// Records that the endpoint rejected the request without running it. A plain endpoint is full then, by
+    /// requests of which this node doesn't know yet.
+    pub fn record_rejection(&self) {
+        self.ignore_response();
+        self.is_rejected.set(true);
+        let Endpoint { id, service, .. } = &self.endpoint;
+        let catalog = self.node.catalog();
+        let is_plain = catalog
+            .and_then(|catalog| Some(catalog.services.get(service)?.engine.is_none()))
+            .unwrap_or(false);
+        if is_plain {
+            let room = self.node.balancer.borrow_mut().record_full(id, clock::now());
+            log::info!("place: event=endpoint_full endpoint={id} service={service} room={room}");
+            self.node.metrics.record_full(service);
+        }
+    }
+
     /// Counts a sample for the endpoint's version, as evidence for a roll-out.
     fn record_sample(&self, sample: Sample) {
         self.is_awaited.set(false);
@@ -168,7 +186,12 @@
             self.record_sample(Sample::Start(self.elapsed(clock::now()).1));
         }
         self.node.balancer.borrow_mut().end_request(&self.endpoint.id, self.load);
-        self.node.release_capacity(&self.endpoint.service);
+        // Neither the end of a request on a lost endpoint nor a rejection frees room.
+        let has_freed_room = !self.is_rejected.get()
+            && self.node.roster.try_borrow().is_ok_and(|roster| {
+                roster.get(&self.endpoint.id).is_some_and(|entry| entry.is_usable(clock::now()))
+            });
+        self.node.release_capacity(&self.endpoint.service, has_freed_room);
     }
 }
 
@@ -183,7 +206,7 @@
 impl Drop for Waiter {
     fn drop(&mut self) {
         if let Some(waiting) = self.node.waiting.borrow_mut().get_mut(&self.service) {
-            waiting.remove(&self.rank);
+            waiting.remove(&self.rank, clock::now());
             // The capacity that this request didn't use is free for the next one.
             waiting.wake(1);
         }
@@ -202,12 +225,16 @@
 ) -> Result<Placement, Refusal> {
     let deadline = context.deadline.min(context.arrived + context.route.target_latency);
     let deadline = if tried.is_empty() { deadline } else { context.deadline };
-    let busy = |after| (Cause::Busy, Some(queue::jitter(after, context.hash)));
+    let claim = context.claim(tried);
+    // A request whose tenant or class got nothing for too long is rather late than rejected.
+    let is_overdue = node.with_share(&context.service, |it| it.is_overdue(&claim, clock::now()));
+    let deadline = if is_overdue { context.deadline } else { deadline };
+    let busy = |after| (Cause::Busy, Some(queue::spread(after, context.hash)));
     let mut waiter: Option<Waiter> = None;
     loop {
         let now = clock::now();
         let mut next_permit = None;
-        let is_next = is_next(node, context, waiter.as_ref());
+        let is_next = is_next(node, context, &claim, waiter.as_ref(), now);
         match is_next.then(|| select(node, context, tried, deadline, now)) {
             Some(Selection::Endpoint(placement)) => {
                 log::info!(
@@ -239,14 +266,18 @@
                     late.as_millis(),
                     node.balancer.borrow().service_slowdown(&context.service, now)
                 );
-                return Err(busy(late.max(MIN_OVERLOAD_RETRY_AFTER)));
+                shortage::record_rejection(node, context, &claim, now);
+                // Room is in time once this much work is done, and is shared with the others that come back.
+                let after =
+                    late + queue::spread(shortage::retry_after(node, context, now), context.hash);
+                return Err((Cause::Busy, Some(after.min(queue::MAX_RETRY_AFTER))));
             }
             Some(Selection::Limited(budget)) => {
                 let remaining = deadline.saturating_sub(now);
                 if budget.next > remaining.mul_f64(MAX_LIMIT_WAIT_SHARE) {
                     return Err(refuse_limited(node, context, budget, now));
                 }
-                set_min_interval(node, context, budget.interval);
+                shortage::set_min_interval(node, context, budget.interval);
                 next_permit = Some(budget.next);
             }
             Some(Selection::Paused(wait)) => {
@@ -259,18 +290,21 @@
                     );
                     return Err((Cause::Paused, Some(queue::delay(wait, context.hash))));
                 }
-                set_min_interval(node, context, Duration::ZERO);
+                shortage::set_min_interval(node, context, Duration::ZERO);
                 next_permit = Some(wait);
             }
             Some(Selection::Full(next)) => {
-                set_min_interval(node, context, Duration::ZERO);
+                shortage::set_min_interval(node, context, Duration::ZERO);
                 next_permit = next;
             }
             None => {}
         }
+        if let Some(after) = shortage::refuse_above_share(node, context, &claim, now) {
+            return Err(busy(after));
+        }
         match &waiter {
             None => {
-                waiter = Some(enqueue(node, context, deadline, now).map_err(|after| {
+                waiter = Some(enqueue(node, context, &claim, deadline, now).map_err(|after| {
                     log::info!(
                         "place: event=queue_full id={} service={} time_left_ms={} advice_ms={}",
                         context.metadata.id,
@@ -278,6 +312,7 @@
                         deadline.saturating_sub(now).as_millis(),
                         after.as_millis()
                     );
+                    shortage::record_rejection(node, context, &claim, now);
                     busy(after)
                 })?);
             }
@@ -289,9 +324,8 @@
                     now.saturating_sub(context.arrived).as_millis(),
                     deadline.saturating_sub(now).as_millis()
                 );
-                let waiting = node.waiting.borrow();
-                let after = waiting.get(&context.service).map(|it| it.queue.retry_after());
-                return Err(busy(after.unwrap_or(MIN_OVERLOAD_RETRY_AFTER)));
+                shortage::record_rejection(node, context, &claim, now);
+                return Err(busy(shortage::retry_after(node, context, now)));
             }
             Some(_) => {}
         }
@@ -304,13 +338,6 @@
     }
 }
 
-/// Sets the least time between two requests of a service that the rate limits of its endpoints allow.
-fn set_min_interval(node: &Node, context: &Context, interval: Duration) {
-    if let Some(waiting) = node.waiting.borrow_mut().get_mut(&context.service) {
-        waiting.queue.set_min_interval(interval);
-    }
-}
-
 /// Refuses a request because the rate limits of all endpoints are used up. All nodes hand out times to come
 /// back, so that callers return as fast as the endpoints take them.
 fn refuse_limited(node: &Node, context: &Context, budget: Budget, now: Duration) -> Refusal {
@@ -319,7 +346,7 @@
         &context.service,
         budget.rate,
         nodes,
-        MIN_OVERLOAD_RETRY_AFTER,
+        shortage::MIN_RETRY_AFTER,
         now,
     );
     log::info!(
@@ -334,12 +361,18 @@
 }
 
 /// Returns whether the request is the first to be served, or would be if it were queued.
-fn is_next(node: &Node, context: &Context, waiter: Option<&Waiter>) -> bool {
+fn is_next(
+    node: &Node,
+    context: &Context,
+    claim: &Claim,
+    waiter: Option<&Waiter>,
+    now: Duration,
+) -> bool {
     let waiting = node.waiting.borrow();
     let Some(waiting) = waiting.get(&context.service) else { return true };
     match waiter {
-        None => waiting.queue.is_first(context.priority),
-        Some(waiter) => waiting.queue.ranks().next() == Some(waiter.rank),
+        None => waiting.queue.is_first(claim, now),
+        Some(waiter) => waiting.queue.is_next(&waiter.rank),
     }
 }
 
@@ -357,12 +390,14 @@
 fn enqueue(
     node: &Rc<Node>,
     context: &Context,
+    claim: &Claim,
     deadline: Duration,
     now: Duration,
 ) -> Result<Waiter, Duration> {
     let mut all = node.waiting.borrow_mut();
     let waiting = all.entry(context.service.clone()).or_default();
-    let rank = waiting.queue.enqueue(context.priority, deadline, now)?;
+    let rank = waiting.queue.enqueue(claim, deadline, now)?;
+    waiting.queue.share.record_lack(claim, now);
     let notify = Rc::new(Notify::new());
     waiting.notifiers.insert(rank.serial, notify.clone());
     // An urgent request may push back others past their deadlines.
@@ -524,7 +559,27 @@
         .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
     let domain = &node.settings.failure_domain;
     let mut balancer = node.balancer.borrow_mut();
-    let choice = match balancer.choose(job, domain, candidates, engine.as_ref(), now) {
+    let claim = context.claim(tried);
+    let reserved = node.with_share(&context.service, |share| share.reserved(&claim, now));
+    let engine = engine.as_ref();
+    let mut choice = balancer.choose_within(job, domain, candidates.clone(), engine, reserved, now);
+    if reserved > 0.0 && choice.is_err() {
+        choice = match balancer.choose(job, domain, candidates, engine, now) {
+            // The reserved room is in time; the request waits for it to become free.
+            Ok(choice) if shortage::is_room_wanted(node, &context.service, &claim, now) => {
+                log::debug!(
+                    "place: event=reserved id={} service={} endpoint={} reserved={reserved:.3}",
+                    context.metadata.id,
+                    context.service,
+                    choice.endpoint
+                );
+                node.metrics.record_reserved(&context.service);
+                Err(Overload::Full)
+            }
+            other => other,
+        };
+    }
+    let choice = match choice {
         Ok(choice) => choice,
         Err(Overload::Late(late)) => return Selection::Late(late),
         Err(Overload::Full) => {
@@ -537,6 +592,7 @@
     drop(entries);
     drop(roster);
     balancer.start_request(&choice, job.prompt, now);
+    node.with_share(&context.service, |share| share.record_start(&claim, now));
     let Choice { load, baseline, predicted, shows_prefill_rate, .. } = choice;
     let stated = &mut node.roster.borrow_mut().stated;
     let is_limit_paid = stated.limits.rate(&endpoint.id).is_some();
@@ -559,6 +615,7 @@
         ),
         is_first: tried.is_empty(),
         has_started: Cell::new(false),
+        is_rejected: Cell::new(false),
         is_awaited: Cell::new(false),
     })
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,7 +27,8 @@
     NoEndpoint,
     /// The process is shutting down.
     Stopping,
-    /// The request would miss its deadline in the queue or at the endpoints.
+    /// The request would miss its deadline in the queue or at the endpoints, or its tenant is above its share
+    /// of a short service.
     Busy,
     /// All endpoints have named rate limits or are cold, and what they take is used up.
     Limited,
@@ -96,8 +97,8 @@
             Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
             Cause::Stopping => "the node was shutting down",
             Cause::Busy => {
-                "it would have missed the target latency of its route, in the queue or at the endpoints; \
-                 see queue_full, queue_late or crowded"
+                "it would have missed the target latency of its route, in the queue or at the endpoints, or its \
+                 tenant had used more than its share; see queue_full, queue_late, crowded or share_used"
             }
             Cause::Limited => {
                 "its service's endpoints had named rate limits or were cold, and what they take was used up; see \
