Evacuate failure domains on the operators' order

Cause: the operators can order that nothing more is sent to the endpoints of a failure domain (rows with the key prefix evacuate/), and the gateway ignored these rows.

Change: gateway::evacuation holds the evacuated domains. The adapter decodes the rows and their removal, and follow applies them; a complete read ends the evacuations that it doesn't hold. place::select leaves out the endpoints of evacuated domains, also for handovers and resumed streams, and refuses with the new cause evacuated if no others are left. gate::admit holds back what was placed before. Streams that run there go on. When an evacuation ends, the domain's endpoints are suspected cold.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 mod discovery;
 pub mod division;
 pub mod duties;
+pub mod evacuation;
 mod exchange;
 pub mod fleet;
 pub mod follow;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::gateway::clock;
+use crate::gateway::cold;
 use crate::gateway::node::Node;
 use crate::gateway::notice::{self, Notice};
 use crate::gateway::peers::Receipt;
@@ -192,6 +193,9 @@
                 observe_era(&node, batch.version.era);
                 node.declared.own_read_at.set(Some(sent));
                 after = Some(batch.version);
+                if batch.is_complete {
+                    end_missing_evacuations(&node, &batch.changes);
+                }
                 for declaration in batch.changes {
                     apply_declaration(&node, declaration);
                 }
@@ -277,9 +281,56 @@
                 node.rollout_declared.notify_one();
             }
         }
+        Declaration::Evacuation { domain } => begin_evacuation(node, domain),
+        Declaration::EvacuationEnd { domain } => {
+            let is_ended = node.roster.borrow_mut().evacuations.end(&domain);
+            if is_ended {
+                resume_domain(node, &domain, "order_removed");
+            }
+        }
+    }
+}
+
+/// Ends the evacuations that a complete read of the declarations doesn't hold.
+fn end_missing_evacuations(node: &Rc<Node>, declarations: &[Declaration]) {
+    let ordered = declarations.iter().filter_map(|declaration| match declaration {
+        Declaration::Evacuation { domain } => Some(domain.clone()),
+        _ => None,
+    });
+    let ordered: Vec<_> = ordered.collect();
+    let ended = node.roster.borrow_mut().evacuations.retain_ordered(&ordered);
+    for domain in ended {
+        resume_domain(node, &domain, "complete_read");
     }
 }
 
+fn begin_evacuation(node: &Rc<Node>, domain: Arc<str>) {
+    let mut roster = node.roster.borrow_mut();
+    if !roster.evacuations.begin(domain.clone()) {
+        return;
+    }
+    let listed = roster.listed_domains();
+    let concerns = roster.evacuations.concerns(&domain, &listed);
+    drop(roster);
+    log::info!("evacuation: event=begun domain={domain}");
+    // Before the first list of endpoints, nothing is known of the domains.
+    if node.endpoints_read_at.get().is_some() {
+        for concern in concerns {
+            log::warn!("evacuation: event=doubtful domain={domain} reason={}", concern.name());
+        }
+    }
+    // Queued requests that waited for the endpoints there are placed elsewhere or refused.
+    node.wake_all();
+}
+
+fn resume_domain(node: &Rc<Node>, domain: &str, source: &str) {
+    log::info!("evacuation: event=ended domain={domain} source={source}");
+    for id in node.roster.borrow_mut().resume_domain(domain, clock::now()) {
+        cold::log_cold(&id, "evacuation");
+    }
+    node.wake_all();
+}
+
 /// Watches the list of endpoints until the process ends.
 pub async fn watch_endpoints(node: Rc<Node>) {
     let mut after = None;
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// The endpoint is no longer listed, or has started again.
     Gone,
+    /// The failure domain of the endpoint is evacuated.
+    Evacuated,
     /// The endpoint has asked this node for a pause.
     Paused,
     /// The endpoint has named a limit since the request was placed, and this node's part of it is used up.
@@ -36,6 +38,7 @@
         match self {
             Hold::Leaving => "leaving",
             Hold::Gone => "gone",
+            Hold::Evacuated => "evacuated",
             Hold::Paused => "paused",
             Hold::Limited => "limited",
             Hold::Cold => "cold",
@@ -74,6 +77,9 @@
     if roster.has_later_start(endpoint) || entry.is_given_up(now) {
         return Err(Hold::Gone);
     }
+    if roster.is_evacuated(endpoint) {
+        return Err(Hold::Evacuated);
+    }
     if roster.stated.pauses.is_paused(&endpoint.id, now) {
         return Err(Hold::Paused);
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -27,7 +27,8 @@
 /// Shortest advised time before a retry when all endpoints are overloaded; capacity is released several
 /// times a second.
 const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Advised time before a retry when a service has no endpoint; new ones take seconds to start.
+/// Advised time before a retry when a service has no endpoint, or only evacuated ones; new ones take seconds to
+/// start.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Part of the time until a request's deadline that it may wait for the rate limits of endpoints.
 const MAX_LIMIT_WAIT_SHARE: f64 = 0.5;
@@ -230,6 +231,17 @@
                     Some(queue::jitter(NO_ENDPOINT_RETRY_AFTER, context.hash)),
                 ));
             }
+            Some(Selection::Evacuated) => {
+                log::info!(
+                    "place: event=endpoints_evacuated id={} service={}",
+                    context.metadata.id,
+                    context.service
+                );
+                return Err((
+                    Cause::Evacuated,
+                    Some(queue::jitter(NO_ENDPOINT_RETRY_AFTER, context.hash)),
+                ));
+            }
             Some(Selection::Late(late)) => {
                 log::info!(
                     "place: event=crowded id={} service={} time_left_ms={} late_ms={} pace={:.1}",
@@ -383,7 +395,8 @@
         | Selection::Full(_)
         | Selection::Limited(_)
         | Selection::Paused(_)
-        | Selection::NoEndpoint => None,
+        | Selection::NoEndpoint
+        | Selection::Evacuated => None,
     }
 }
 
@@ -400,6 +413,8 @@
     Paused(Duration),
     /// The service has no endpoint that may be tried.
     NoEndpoint,
+    /// All endpoints that may be tried are in evacuated failure domains.
+    Evacuated,
 }
 
 /// What the rate limits of the endpoints allow that have no request left for this node now.
@@ -459,8 +474,11 @@
     let engine = catalog.as_ref().and_then(|it| it.services.get(&context.service)?.engine);
     let roster = node.roster.borrow();
     let version_selection = node.shifts.borrow().select(&context.service, context.hash);
-    let is_eligible = |entry: &&roster::Entry| {
-        !tried.contains(&entry.endpoint.id)
+    let may_get = |entry: &&Entry| {
+        !tried.contains(&entry.endpoint.id) && !roster.is_evacuated(&entry.endpoint)
+    };
+    let is_eligible = |entry: &&Entry| {
+        may_get(entry)
             && version_selection
                 .as_ref()
                 .is_none_or(|selection| selection.admits(&entry.endpoint.version))
@@ -481,14 +499,18 @@
     if entries.is_empty()
         && let Some(selection) = version_selection.as_ref().filter(|it| it.allows_fallback())
     {
-        let others = roster.for_service(&context.service).filter(|entry| {
-            let endpoint = &entry.endpoint;
-            !tried.contains(&endpoint.id) && !selection.is_rejected(&endpoint.version)
-        });
+        let others = roster
+            .for_service(&context.service)
+            .filter(|entry| may_get(entry) && !selection.is_rejected(&entry.endpoint.version));
         entries = others.filter(|entry| entry.is_listed()).collect();
     }
     if entries.is_empty() {
-        return Selection::NoEndpoint;
+        let is_left = |entry: &Entry| {
+            let endpoint = &entry.endpoint;
+            entry.is_listed() && roster.is_evacuated(endpoint) && !tried.contains(&endpoint.id)
+        };
+        let is_evacuated = roster.for_service(&context.service).any(is_left);
+        return if is_evacuated { Selection::Evacuated } else { Selection::NoEndpoint };
     }
     let mut pause = Duration::MAX;
     if !roster.stated.pauses.is_empty() {
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -49,6 +49,14 @@
         time_limit: Duration,
         revision: Version,
     },
+    /// Nothing more is sent to the endpoints of a failure domain.
+    Evacuation {
+        domain: Arc<str>,
+    },
+    /// The endpoints of a failure domain get requests again.
+    EvacuationEnd {
+        domain: Arc<str>,
+    },
 }
 
 /// Endpoint as it registered itself.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     OverQuota,
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// All endpoints of the service are in evacuated failure domains.
+    Evacuated,
     /// The process is shutting down.
     Stopping,
     /// The request would miss its deadline in the queue or at the endpoints.
@@ -44,7 +46,7 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 19] = [
+    const ALL: [Cause; 20] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
@@ -56,6 +58,7 @@
         Cause::StaleKeys,
         Cause::OverQuota,
         Cause::NoEndpoint,
+        Cause::Evacuated,
         Cause::Stopping,
         Cause::Busy,
         Cause::Limited,
@@ -94,6 +97,10 @@
                  and nodes: silent peers keep their part"
             }
             Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
+            Cause::Evacuated => {
+                "all endpoints of its service were in failure domains that the operators had ordered to \
+                 evacuate; see evacuation: event=begun and order"
+            }
             Cause::Stopping => "the node was shutting down",
             Cause::Busy => {
                 "it would have missed the target latency of its route, in the queue or at the endpoints; \
@@ -132,6 +139,7 @@
             Cause::StaleKeys => "stale_keys",
             Cause::OverQuota => "over_quota",
             Cause::NoEndpoint => "no_endpoint",
+            Cause::Evacuated => "evacuated",
             Cause::Stopping => "stopping",
             Cause::Busy => "busy",
             Cause::Limited => "limited",
@@ -157,6 +165,7 @@
             | Cause::MemoryFull
             | Cause::StaleKeys
             | Cause::NoEndpoint
+            | Cause::Evacuated
             | Cause::Busy
             | Cause::Limited
             | Cause::Paused
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,10 +1,11 @@
 //! Endpoints that the platform lists, with the health of each as this node observes it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::gateway::cold;
+use crate::gateway::evacuation::Evacuations;
 use crate::gateway::platform::{Change, Endpoint};
 use crate::gateway::rate_limit::Report;
 use crate::gateway::statement::Memory;
@@ -166,6 +167,8 @@
     gone: HashMap<(Arc<str>, u64), Duration>,
     /// What the endpoints have stated about themselves, whether they have an entry or not.
     pub stated: Memory,
+    /// Failure domains whose endpoints get no requests.
+    pub evacuations: Evacuations,
     last_outage: Option<Duration>,
 }
 
@@ -379,6 +382,26 @@
         self.entries.get_mut(id).map(|entry| &mut entry.health)
     }
 
+    /// Returns whether an endpoint is in an evacuated failure domain.
+    pub fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        self.evacuations.is_evacuated(&endpoint.domain)
+    }
+
+    /// Returns the failure domains with endpoints that don't leave.
+    pub fn listed_domains(&self) -> BTreeSet<Arc<str>> {
+        let listed = self.entries.values().filter(|entry| entry.is_listed());
+        listed.map(|entry| entry.endpoint.domain.clone()).collect()
+    }
+
+    /// Applies the end of a domain's evacuation: its endpoints have idled, so that each is suspected to be cold and
+    /// gets no burst of requests. Returns those that are newly cold.
+    pub fn resume_domain(&mut self, domain: &str, now: Duration) -> Vec<Arc<str>> {
+        let entries = self.entries.values().filter(|entry| *entry.endpoint.domain == *domain);
+        let cold = &mut self.stated.cold;
+        let cooled = entries.filter(|entry| cold.suspect(&entry.endpoint, now));
+        cooled.map(|entry| entry.endpoint.id.clone()).collect()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
     }
