--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     OverQuota,
     /// No endpoint of the service is known.
     NoEndpoint,
+    /// All endpoints of the service are in evacuated failure domains.
+    Evacuated,
     /// The process is shutting down.
     Stopping,
     /// The request would miss its deadline in the queue or at the endpoints, or its tenant is above its share
@@ -45,7 +47,7 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 19] = [
+    const ALL: [Cause; 20] = [
         Cause::NoCatalog,
         Cause::NoRoute,
         Cause::BadRequest,
@@ -57,6 +59,7 @@
         Cause::StaleKeys,
         Cause::OverQuota,
         Cause::NoEndpoint,
+        Cause::Evacuated,
         Cause::Stopping,
         Cause::Busy,
         Cause::Limited,
@@ -95,6 +98,10 @@
                  and nodes: silent peers keep their part"
             }
             Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
+            Cause::Evacuated => {
+                "all endpoints of its service were in failure domains that the operators had ordered to \
+                 evacuate; see evacuation: event=begun and order"
+            }
             Cause::Stopping => "the node was shutting down",
             Cause::Busy => {
                 "it would have missed the target latency of its route, in the queue or at the endpoints, or its \
@@ -133,6 +140,7 @@
             Cause::StaleKeys => "stale_keys",
             Cause::OverQuota => "over_quota",
             Cause::NoEndpoint => "no_endpoint",
+            Cause::Evacuated => "evacuated",
             Cause::Stopping => "stopping",
             Cause::Busy => "busy",
             Cause::Limited => "limited",
@@ -158,6 +166,7 @@
             | Cause::MemoryFull
             | Cause::StaleKeys
             | Cause::NoEndpoint
+            | Cause::Evacuated
             | Cause::Busy
             | Cause::Limited
             | Cause::Paused
