--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -25,6 +25,7 @@
 use crate::gateway::quarantine;
 use crate::gateway::quota;
 use crate::gateway::rate_limit::{self, Scope};
+use crate::gateway::share;
 use crate::gateway::shift;
 use crate::gateway::statement;
 
@@ -45,9 +46,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 16;
+const HEARTBEAT_FORMAT: u8 = 20;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 17;
+const DIGEST_FORMAT: u8 = 21;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -99,6 +100,8 @@
     limits: Vec<rate_limit::Report>,
     /// Endpoints that the node's own evidence shows as cold, of the same scope.
     cold: Vec<cold::Report>,
+    /// Recent use of each service at this node, with tenants and classes while the service is short.
+    shares: Vec<(Arc<str>, share::Report)>,
 }
 
 /// What outlives the holder of the duties, and the store's memory of it.
@@ -147,6 +150,8 @@
     limits: Vec<rate_limit::Report>,
     /// Endpoints that the evidence of the nodes of the domain shows as cold.
     cold: Vec<cold::Report>,
+    /// Recent use of each service at the nodes of the domain.
+    shares: Vec<(Arc<str>, share::Report)>,
 }
 
 impl Digest {
@@ -260,6 +265,7 @@
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(scope, now),
         cold: node.roster.borrow().stated.cold.reports(scope, now),
+        shares: node.share_reports(false, now),
     }
 }
 
@@ -377,6 +383,7 @@
         quarantine: node.quarantine.borrow_mut().report(now),
         limits: node.roster.borrow().stated.limit_reports(Scope::Domain, now),
         cold: node.roster.borrow().stated.cold.reports(Scope::Domain, now),
+        shares: node.share_reports(true, now),
     }
 }
 
@@ -494,6 +501,10 @@
     let delay = receipt.delay.unwrap_or_default();
     statement::apply_reports(node, source.0, &heartbeat.limits, false, delay);
     statement::apply_cold(node, source.0, &heartbeat.cold, false, delay);
+    let sent_at = now.saturating_sub(delay);
+    for (service, report) in heartbeat.shares {
+        node.with_share(&service, |share| share.set_peer(source.0, report, sent_at));
+    }
     // Endpoint changes wake queued requests, which borrow the same state.
     drop((quotas, usage));
     let outage = heartbeat.reading.as_ref().and_then(|reading| reading.outage(now));
@@ -549,6 +560,9 @@
     merge_quarantine(node, &digest.node, &digest.quarantine, now);
     statement::apply_reports(node, &digest.node, &digest.limits, true, Duration::ZERO);
     statement::apply_cold(node, &digest.node, &digest.cold, true, Duration::ZERO);
+    for (service, report) in digest.shares {
+        node.with_share(&service, |share| share.set_domain(domain, report, now));
+    }
     follow::apply_peer_changes(node, &digest.node, digest.endpoints, outage);
     true
 }
