Order endpoints elsewhere while a failure domain is evacuated

Cause: the endpoints of an evacuated failure domain get no requests, but counted as serving, so that nothing replaced them.

Change: the planner leaves them out, spreads what is needed over the other domains, and orders nothing in the evacuated one, for either kind. An order that waits for a slow cloud interface is dropped if its domain is evacuated meanwhile. A roll-out is completed only if the new version has an endpoint that takes requests. When the evacuation ends, the surplus is removed as usual.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -378,6 +378,10 @@
         let orders = planner.orders(clock::now());
         for order in orders {
             let Some(fence) = context.current_fence().filter(|it| it.token == token) else { break };
+            // An evacuation may have begun while the orders before were sent.
+            if node.roster.borrow().evacuations.is_evacuated(&order.domain) {
+                continue;
+            }
             send_order(node, &mut planner, order, fence).await;
         }
     }
@@ -434,6 +438,7 @@
                 (total(&lateness.answers), total(&lateness.late))
             }),
             slots: service.engine.map_or(1, |engine| engine.slots),
+            evacuated: roster.evacuations.domains().cloned().collect(),
             ..fleet::Snapshot::default()
         };
         let shifts = node.shifts.borrow();
@@ -450,6 +455,10 @@
                 snapshot.add_endpoint(endpoint.domain.clone(), endpoint.reclaimable);
                 let is_paused = roster.stated.pauses.is_paused(&endpoint.id, now);
                 let rate = roster.stated.limits.rate(&endpoint.id);
+                // The limit of an endpoint that isn't used takes nothing away from the others.
+                if roster.is_evacuated(endpoint) {
+                    continue;
+                }
                 if let Some(rate) = if is_paused { Some(0.0) } else { rate } {
                     snapshot.add_limit(rate, node.demand.borrow().mean_tokens(&service.name));
                 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -6,7 +6,7 @@
 //! endpoints are spread evenly over the failure domains, reclaimable ones replace on-demand ones,
 //! and on-demand ones are ordered while too few reclaimable ones are running.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +56,9 @@
     /// Totals of answers and of late answers at all nodes; `None` if no route of the service declares a
     /// target for the gaps of its streams.
     pub lateness: Option<(u64, u64)>,
+    /// Evacuated failure domains. Their endpoints don't count, so that the missing ones are ordered elsewhere, and
+    /// nothing is ordered there.
+    pub evacuated: BTreeSet<Arc<str>>,
     /// Sum over the endpoints of the part of each that its rate limit keeps unused.
     pub limited_endpoints: f64,
     /// Number of endpoints of the other version in a roll-out, by failure domain and whether they
@@ -72,6 +75,11 @@
         *self.endpoints.entry((domain, reclaimable)).or_default() += 1;
     }
 
+    fn drop_evacuated(&mut self) {
+        let evacuated = &self.evacuated;
+        self.endpoints.retain(|(domain, _), _| !evacuated.contains(domain));
+    }
+
     /// Returns the larger of the reclaimable and on-demand counts: while one kind replaces the
     /// other, both are running.
     fn larger_kind_count(&self) -> u32 {
@@ -149,7 +157,8 @@
         }
     }
 
-    fn observe(&mut self, snapshot: Snapshot, now: Duration) {
+    fn observe(&mut self, mut snapshot: Snapshot, now: Duration) {
+        snapshot.drop_evacuated();
         let elapsed = now.saturating_sub(self.last_observed).as_secs_f64();
         self.last_observed = now;
         let decay = 0.5_f64.powf(elapsed / PEAK_HALF_LIFE.as_secs_f64());
@@ -199,9 +208,10 @@
         if is_warm { demand } else { demand.max(self.initial_count) }
     }
 
-    /// Distributes endpoints evenly over the failure domains; cheaper ones get the remainder.
+    /// Distributes endpoints evenly over the failure domains that aren't evacuated; cheaper ones get the remainder.
     fn spread_evenly(&self, needed: u32) -> Vec<(Arc<str>, u32)> {
         let mut domains = self.scaling.domain_prices.clone();
+        domains.retain(|(domain, _)| !self.snapshot.evacuated.contains(domain));
         domains.sort_by(|(_, left), (_, right)| left.total_cmp(right));
         let count = domains.len().max(1) as u32;
         let (each, remainder) = (needed / count, needed % count);
@@ -321,6 +331,8 @@
             return;
         }
         let plan = self.plans.entry(service.clone());
+        // What was found at first counts with the evacuated endpoints, as it stands for the demand until that is
+        // known.
         let plan = plan.or_insert_with(|| Plan::new(scaling, &snapshot, now));
         plan.scaling = scaling.clone();
         plan.observe(snapshot, now);
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -15,6 +15,7 @@
 use crate::gateway::clock;
 use crate::gateway::node::Node;
 use crate::gateway::platform::{Phase, Progress};
+use crate::gateway::roster::Entry;
 use crate::gateway::version::Version;
 use crate::platform::{Failure, Outcome, Row, Transaction};
 
@@ -193,7 +194,10 @@
 fn due_records(node: &Node) -> Vec<(Arc<str>, Record)> {
     let roster = node.roster.borrow();
     let has_endpoint = |service: &str, version: &str| {
-        roster.for_service(service).any(|it| it.is_listed() && *it.endpoint.version == *version)
+        let takes_requests = |it: &Entry| {
+            it.is_listed() && !roster.is_evacuated(&it.endpoint) && *it.endpoint.version == *version
+        };
+        roster.for_service(service).any(takes_requests)
     };
     node.shifts.borrow().records(clock::now(), has_endpoint)
 }
--- a/tests/fleet_orders.rs
+++ b/tests/fleet_orders.rs
@@ -35,6 +35,7 @@
     is_reclaimable_sold_out: bool,
     /// Endpoints that rate limits keep unused.
     limited_endpoints: f64,
+    evacuated: Vec<Arc<str>>,
     orders: u32,
 }
 
@@ -52,6 +53,7 @@
             booting: Vec::new(),
             is_reclaimable_sold_out: false,
             limited_endpoints: 0.0,
+            evacuated: Vec::new(),
             orders: 0,
         }
     }
@@ -75,6 +77,7 @@
                 slots: 32,
                 endpoints: self.running.clone(),
                 lateness: None,
+                evacuated: self.evacuated.iter().cloned().collect(),
                 limited_endpoints: self.limited_endpoints,
                 other_version: None,
             };
@@ -160,6 +163,27 @@
     assert!(left >= 4, "{left} endpoints are left: {:?}", simulation.running);
 }
 
+/// Guards against an evacuated domain whose endpoints count as serving, so that too few are left, and against an
+/// order that changes their number.
+#[test]
+fn evacuated_domain_is_replaced() {
+    let mut simulation = Simulation::new();
+    simulation.run(40, 340_000);
+    let before = simulation.running.clone();
+    let in_domain = |running: &BTreeMap<(Arc<str>, bool), u32>| {
+        [true, false].map(|kind| running.get(&("b".into(), kind)).copied().unwrap_or(0))
+    };
+    simulation.evacuated = vec!["b".into()];
+    simulation.run(8, 340_000);
+    assert_eq!(in_domain(&simulation.running), in_domain(&before), "{:?}", simulation.running);
+    let others = simulation.running.values().sum::<u32>() - in_domain(&before).iter().sum::<u32>();
+    let total = before.values().sum::<u32>();
+    assert!(others >= total, "{others} instead of {total}: {:?}", simulation.running);
+    simulation.evacuated.clear();
+    simulation.run(20, 340_000);
+    assert_eq!(simulation.running.values().sum::<u32>(), total, "the surplus is removed");
+}
+
 /// Guards against endpoints for prompt tokens that are cached: prompts that share most of their tokens
 /// need few more endpoints than prompts without the shared part.
 #[test]
