--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     endpoints: Option<IntGaugeVec>,
     avoided_endpoints: Option<IntGaugeVec>,
     cold_endpoints: Option<IntGaugeVec>,
+    evacuated: Option<IntGaugeVec>,
 }
 
 impl Registry {
@@ -126,6 +127,11 @@
             "Listed endpoints that get no new requests from this node, by reason.",
             &["reason"],
         );
+        let evacuated = gauge(
+            "pomelolink_evacuated",
+            "1 for each failure domain that the operators have ordered to evacuate.",
+            &["domain"],
+        );
         let cold_endpoints = gauge(
             "pomelolink_cold_endpoint",
             "Remaining milliseconds of each cold endpoint, and requests that this node may send in 1,000 s.",
@@ -150,6 +156,7 @@
             endpoints,
             avoided_endpoints,
             cold_endpoints,
+            evacuated,
         }
     }
 
@@ -317,12 +324,20 @@
                 set("own_per_1000_s", (own_rate * 1_000.0) as i64);
             }
         }
+        if let Some(evacuated) = &self.evacuated {
+            evacuated.reset();
+            for domain in node.roster.borrow().evacuations.domains() {
+                evacuated.with_label_values(&[&**domain]).set(1);
+            }
+        }
         if let Some(avoided) = &self.avoided_endpoints {
             avoided.reset();
             let roster = node.roster.borrow();
             for entry in roster.iter() {
                 let is_paused = roster.stated.pauses.is_paused(&entry.endpoint.id, now);
-                let reason = entry.avoidance(now).or(is_paused.then_some("pause_asked"));
+                let is_evacuated = roster.is_evacuated(&entry.endpoint);
+                let reason = entry.avoidance(now).or(is_evacuated.then_some("evacuated"));
+                let reason = reason.or(is_paused.then_some("pause_asked"));
                 if let Some(reason) = reason {
                     avoided.with_label_values(&[reason]).inc();
                 }
