--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,7 @@
 mod serve;
 pub mod settings;
 pub mod shift;
+pub mod speed;
 pub mod stall;
 pub mod statement;
 mod stop;
