Share the speed factors and use them in the choice

Cause: a node sees few responses of each endpoint, so its own slowness follows a slow phase too late.

Change: the pump records each gap with the load at its begin or end, leaving out gaps after an event that the caller was slow to take; placements record first events and the responses of plain services. Load entries of heartbeats and digests get the factor and its weight (2 to 4 bytes; a digest the weighted mean over its domain), so the format bytes are 18 and 19 now. place::select uses the combined factor where something was observed within a second, else the slowness as before. Enabled where a route declares gap_aim_ms. Crossings of 1.5 and returns below 1.2 are logged, the last line of a stream states max_gap_ms, and pomelolink_endpoint gets speed_factor_percent.

Not run: tests with processes, benchmarks.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -201,6 +201,11 @@
         self.gap_targets.get(service).copied()
     }
 
+    /// Returns whether a route declares a gap target, which enables the speed factors of endpoints.
+    pub fn has_gap_targets(&self) -> bool {
+        !self.gap_targets.is_empty()
+    }
+
     /// Returns the tenant that owns an API key.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.keys.get(key)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,11 +21,12 @@
 use crate::gateway::follow::{self, Reading};
 use crate::gateway::node::Node;
 use crate::gateway::notice::Notice;
-use crate::gateway::peers::{Beat, DIGEST_INTERVAL, Summary};
+use crate::gateway::peers::{self, Beat, DIGEST_INTERVAL, Summary};
 use crate::gateway::quarantine;
 use crate::gateway::quota;
 use crate::gateway::rate_limit::{self, Scope};
 use crate::gateway::shift;
+use crate::gateway::speed;
 use crate::gateway::statement;
 
 /// Minimum interval between quota updates. Thirty nodes that receive many times the requests of a quota
@@ -45,9 +46,9 @@
 /// time, in milliseconds.
 const MAX_FENCE_LEAD_MS: u64 = 86_400_000;
 /// First byte of each kind of datagram. It changes with each incompatible change of the encoding.
-const HEARTBEAT_FORMAT: u8 = 16;
+const HEARTBEAT_FORMAT: u8 = 18;
 const QUOTA_FORMAT: u8 = 4;
-const DIGEST_FORMAT: u8 = 17;
+const DIGEST_FORMAT: u8 = 19;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -83,7 +84,7 @@
     introduction: Option<Introduction>,
     /// Number of requests of each tenant that started to run, by usage window.
     usage: Vec<(u64, Counts)>,
-    loads: Vec<(Arc<str>, Load)>,
+    loads: Vec<peers::Report>,
     /// Prompt tokens to prefill for callers since the start of the node, by service.
     demand: Vec<(Arc<str>, u64)>,
     /// Answers and late answers since the start of the node, by service.
@@ -132,7 +133,7 @@
     window_sums: Vec<(Arc<str>, u64)>,
     /// Number of requests of each tenant that started to run, by usage window.
     usage: Vec<(u64, Counts)>,
-    loads: Vec<(Arc<str>, Load)>,
+    loads: Vec<peers::Report>,
     /// Prompt tokens to prefill for callers since the relay started, by service.
     demand: Vec<(Arc<str>, u64)>,
     /// Answers and late answers since the relay started, by service.
@@ -217,7 +218,9 @@
     let usage = usage.own_counts(if is_full { USAGE_WINDOWS } else { 0 });
     let usage = usage.map(|(window, counts)| (window, counts.clone())).collect();
     let balancer = node.balancer.borrow();
-    let loads = balancer.own_loads().map(|(id, load)| (id.clone(), load)).collect();
+    let speeds = node.speeds.borrow();
+    let loads = balancer.own_loads();
+    let loads = loads.map(|(id, load)| (id.clone(), load, speeds.report(id, now))).collect();
     let demand = node.demand.borrow();
     let demand = demand.own().map(|(service, total)| (service.clone(), total)).collect();
     let lateness = node.lateness.borrow();
@@ -296,7 +299,15 @@
     let fleet = peers.fleet(now);
     node.roster.borrow_mut().stated.cold.set_fleet(&fleet, now);
     node.roster.borrow_mut().stated.limits.set_fleet(fleet, now);
-    node.balancer.borrow_mut().set_peer_loads(peers.loads(now).into_iter());
+    let reports = peers.loads(now);
+    let loads = reports.iter().map(|((id, load, _), _)| (id.clone(), *load));
+    node.balancer.borrow_mut().set_peer_loads(loads);
+    let speeds = reports.iter().map(|((id, _, report), age)| (id, *report, *age));
+    node.speeds.borrow_mut().set_peers(speeds, now);
+    for speed::Change { endpoint, is_slow, factor } in node.speeds.borrow_mut().refresh(now) {
+        let event = if is_slow { "endpoint_slow" } else { "endpoint_recovered" };
+        log::info!("speed: event={event} endpoint={endpoint} factor={factor:.2}");
+    }
     // A peer may have released capacity that queued requests wait for.
     node.wake_all();
     if let Some(correction) = peers.clock_correction_ms(now) {
@@ -347,12 +358,18 @@
 fn build_digest(node: &Rc<Node>, sequence: u64, now: Duration) -> Digest {
     let peers = node.peers.borrow();
     let (nodes, live) = peers.domain_counts(now);
-    let mut loads: HashMap<Arc<str>, Load> = HashMap::new();
+    let mut loads: HashMap<Arc<str>, (Load, speed::Mean)> = HashMap::new();
     let balancer = node.balancer.borrow();
-    let own = balancer.own_loads().map(|(id, load)| (id.clone(), load));
-    for (endpoint, load) in own.chain(peers.direct_loads(now).cloned()) {
-        loads.entry(endpoint).or_default().add(load);
+    let speeds = node.speeds.borrow();
+    let own =
+        balancer.own_loads().map(|(id, load)| (id, load, speeds.report(id, now), Duration::ZERO));
+    let direct = peers.direct_loads(now).map(|((id, load, speed), age)| (id, *load, *speed, age));
+    for (endpoint, load, speed, age) in own.chain(direct) {
+        let (total, mean) = loads.entry(endpoint.clone()).or_default();
+        total.add(load);
+        mean.add_report(speed, age);
     }
+    let loads = loads.into_iter().map(|(id, (load, mean))| (id, load, mean.report()));
     let outage = node.roster.borrow().last_outage();
     let usage_windows = if sequence.is_multiple_of(FULL_EVERY) { USAGE_WINDOWS } else { 0 };
     Digest {
@@ -367,7 +384,7 @@
         duties: known_duties(node),
         window_sums: node.quotas.borrow_mut().domain_sums(now),
         usage: node.usage.borrow().domain_sums(usage_windows),
-        loads: loads.into_iter().collect(),
+        loads: loads.collect(),
         demand: node.demand.borrow().domain_totals(),
         answers: node.lateness.borrow().answers.domain_totals(),
         late: node.lateness.borrow().late.domain_totals(),
--- a/src/gateway/lateness.rs
+++ b/src/gateway/lateness.rs
@@ -59,21 +59,28 @@
 pub struct Gaps {
     target: Option<Duration>,
     last_at: Duration,
+    longest: Duration,
     is_late: bool,
 }
 
 impl Gaps {
     pub fn new(target: Option<Duration>, is_late: bool, now: Duration) -> Gaps {
-        Gaps { target, last_at: now, is_late }
+        Gaps { target, last_at: now, longest: Duration::ZERO, is_late }
     }
 
     /// Records an event; returns whether the stream becomes late with it.
     pub fn record_event(&mut self, now: Duration) -> bool {
         let gap = now.saturating_sub(std::mem::replace(&mut self.last_at, now));
+        self.longest = self.longest.max(gap);
         let becomes_late = !self.is_late && self.target.is_some_and(|target| gap > target);
         self.is_late |= becomes_late;
         becomes_late
     }
+
+    /// Returns the longest gap.
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
 }
 
 /// Change of a plan, for the log.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -118,7 +118,7 @@
         );
         let endpoints = gauge(
             "pomelolink_endpoint",
-            "Requests, unread prompt tokens, slowness in percent and pause of each listed endpoint.",
+            "Requests, unread prompt tokens, slowness and speed factor in percent, and pause of each listed endpoint.",
             &["endpoint", "field"],
         );
         let avoided_endpoints = gauge(
@@ -305,6 +305,8 @@
                 set("requests", i64::from(load.requests));
                 set("unread_tokens", i64::from(load.unread_tokens));
                 set("slowness_percent", slowness);
+                let factor = node.speeds.borrow().factor(id, now).unwrap_or(1.0);
+                set("speed_factor_percent", (factor * 100.0) as i64);
                 set("paused", i64::from(entry.health.is_paused(now)));
             }
         }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -24,6 +24,7 @@
 use crate::gateway::roster::Roster;
 use crate::gateway::settings::Settings;
 use crate::gateway::shift::Shifts;
+use crate::gateway::speed::Speeds;
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics, serve};
 use crate::intake::{self, account, connections};
@@ -122,6 +123,7 @@
     pub own_endpoints_read_at: Cell<Option<Duration>>,
     pub first_endpoints_read_at: Cell<Option<Duration>>,
     pub balancer: RefCell<Balancer>,
+    pub speeds: RefCell<Speeds>,
     pub quotas: RefCell<Quotas>,
     pub budget: RefCell<Budget>,
     pub usage: RefCell<Usage>,
@@ -193,6 +195,7 @@
             own_endpoints_read_at: Cell::default(),
             first_endpoints_read_at: Cell::default(),
             balancer: RefCell::default(),
+            speeds: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota_window, settings.first_start)),
             budget: RefCell::new(Budget::new(retry_limit)),
             usage: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::balancer::Load;
 use crate::gateway::rate_limit::Fleet;
+use crate::gateway::speed;
 
 /// Interval between heartbeats to each peer. The other nodes don't know of requests that a node sent to
 /// an endpoint within this time, so a shorter interval spreads a burst better but sends more bytes.
@@ -44,6 +45,9 @@
 /// Offset from the median clock of all nodes above which this node corrects its own.
 const MAX_CLOCK_OFFSET_MS: i64 = 400;
 
+/// Load of an endpoint from a node or a failure domain, and the speed that it has observed there.
+pub type Report = (Arc<str>, Load, speed::Report);
+
 /// What a heartbeat says about its sender.
 #[derive(Debug, Clone)]
 pub struct Beat<'a> {
@@ -56,7 +60,7 @@
     pub holds_duties: bool,
     /// Whether the sender's last call to the store succeeded.
     pub reaches_store: bool,
-    pub loads: &'a [(Arc<str>, Load)],
+    pub loads: &'a [Report],
 }
 
 /// What a digest says about its failure domain.
@@ -70,7 +74,7 @@
     pub nodes: u32,
     pub live: u32,
     pub holds_duties: bool,
-    pub loads: &'a [(Arc<str>, Load)],
+    pub loads: &'a [Report],
 }
 
 /// How a heartbeat arrived.
@@ -106,7 +110,7 @@
     max_skew_ms: i64,
     holds_duties: bool,
     reaches_store: bool,
-    loads: Vec<(Arc<str>, Load)>,
+    loads: Vec<Report>,
     /// Whether the peer was alive when its liveness was last logged.
     was_alive: bool,
 }
@@ -121,7 +125,7 @@
     nodes: u32,
     live: u32,
     holds_duties: bool,
-    loads: Vec<(Arc<str>, Load)>,
+    loads: Vec<Report>,
 }
 
 /// Peers of a node and the state that each last reported.
@@ -635,19 +639,25 @@
         seen.or(previous.map(|(_, seen)| seen))
     }
 
-    /// Returns the loads that the live direct peers reported.
-    pub fn direct_loads(&self, now: Duration) -> impl Iterator<Item = &(Arc<str>, Load)> {
+    /// Returns the loads that the live direct peers reported, with the age of each report.
+    pub fn direct_loads(&self, now: Duration) -> impl Iterator<Item = (&Report, Duration)> {
         let alive = self.direct(now).filter(move |(_, peer)| peer.is_alive(now));
-        alive.flat_map(|(_, peer)| &peer.loads)
+        alive.flat_map(move |(_, peer)| {
+            let age = now.saturating_sub(peer.seen.unwrap_or_default());
+            peer.loads.iter().map(move |report| (report, age))
+        })
     }
 
     /// Returns the loads of all other nodes: those of live direct peers, and the sums of the other failure
     /// domains.
-    pub fn loads(&self, now: Duration) -> Vec<(Arc<str>, Load)> {
+    pub fn loads(&self, now: Duration) -> Vec<(&Report, Duration)> {
         let relays = if self.is_split { self.newest_relays() } else { SmallVec::new() };
         let alive = relays.iter().filter(|(_, it)| now.saturating_sub(it.seen) < PEER_TIMEOUT);
-        let elsewhere = alive.flat_map(|(_, relay)| &relay.loads);
-        self.direct_loads(now).chain(elsewhere).cloned().collect()
+        let elsewhere = alive.flat_map(|(_, relay)| {
+            let age = now.saturating_sub(relay.seen);
+            relay.loads.iter().map(move |report| (report, age))
+        });
+        self.direct_loads(now).chain(elsewhere).collect()
     }
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,6 +21,7 @@
 use crate::gateway::rate_limit::Permit;
 use crate::gateway::refusal::Cause;
 use crate::gateway::roster::{self, Entry};
+use crate::gateway::speed;
 use crate::gateway::statement::Memory;
 use crate::gateway::verdict::{Conditions, Sample};
 
@@ -52,6 +53,8 @@
     pub began: Duration,
     /// Whether the time to the first event shows the prefill rate.
     shows_prefill_rate: bool,
+    /// Whether the endpoint's speed factor is learned from the request.
+    shows_speed: bool,
     /// Whether the request is charged to the endpoint's rate limit.
     pub is_limit_paid: bool,
     /// Time at which the request was charged to the rate of a cold endpoint, if it was.
@@ -87,6 +90,7 @@
         }
         balancer.record_slowdown(&self.endpoint.service, elapsed, self.baseline, now);
         drop(balancer);
+        self.record_speed(speed::Sample::FirstEvent(ratio), now);
         self.record_health_success();
         self.record_sample(Sample::Start(ratio));
         self.has_started.set(true);
@@ -120,10 +124,28 @@
         self.record_sample(Sample::Pace(gap));
     }
 
+    /// Records the time since the previous event of a stream, with the largest load of the endpoint meanwhile.
+    pub fn record_gap(&self, gap: Duration, load: Load) {
+        self.record_speed(speed::Sample::Gap(gap, load), clock::now());
+    }
+
+    fn record_speed(&self, sample: speed::Sample, now: Duration) {
+        if self.shows_speed {
+            let Endpoint { service, id, .. } = &self.endpoint;
+            self.node.speeds.borrow_mut().record(service, id, sample, now);
+        }
+    }
+
     /// Records a complete response without a server error.
     pub fn record_success(&self) {
+        let now = clock::now();
+        let ratio = self.elapsed(now).1;
         self.record_health_success();
-        self.record_sample(Sample::Start(self.elapsed(clock::now()).1));
+        // The response of an engine takes as long as its output, which the estimate leaves out.
+        if self.load.memory_tokens == 0 {
+            self.record_speed(speed::Sample::Response(ratio), now);
+        }
+        self.record_sample(Sample::Start(ratio));
     }
 
     fn record_health_success(&self) {
@@ -519,9 +541,16 @@
         deadline,
         gap_target: catalog.as_ref().and_then(|it| it.gap_target(&context.service)),
     };
-    let candidates = entries
+    let speeds = node.speeds.borrow();
+    let rated: SmallVec<[Candidate<'_>; 32]> = entries
         .iter()
-        .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
+        .map(|entry| {
+            let factor = speeds.factor(&entry.endpoint.id, now);
+            let slowness = factor.unwrap_or_else(|| entry.health.slowness());
+            Candidate { endpoint: &entry.endpoint, slowness }
+        })
+        .collect();
+    let candidates = rated.iter().copied();
     let domain = &node.settings.failure_domain;
     let mut balancer = node.balancer.borrow_mut();
     let choice = match balancer.choose(job, domain, candidates, engine.as_ref(), now) {
@@ -534,7 +563,7 @@
     };
     let Some(entry) = roster.get(&choice.endpoint) else { return Selection::NoEndpoint };
     let endpoint = entry.endpoint.clone();
-    drop(entries);
+    drop((entries, rated, speeds));
     drop(roster);
     balancer.start_request(&choice, job.prompt, now);
     let Choice { load, baseline, predicted, shows_prefill_rate, .. } = choice;
@@ -551,6 +580,7 @@
         predicted,
         began: now,
         shows_prefill_rate,
+        shows_speed: catalog.as_ref().is_some_and(|it| it.has_gap_targets()),
         is_limit_paid,
         cold_charged_at,
         conditions: Conditions::new(
--- a/src/gateway/pump.rs
+++ b/src/gateway/pump.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Sleep, sleep, timeout};
 
+use crate::gateway::balancer::Load;
 use crate::gateway::clock;
 use crate::gateway::crash;
 use crate::gateway::forward::{self, Attempt, History, Resume, Stream};
@@ -29,6 +30,8 @@
 /// Number of events that show that an answer has begun. An endpoint that crashes on a prompt may still send
 /// the first one.
 const START_EVENTS: u32 = 2;
+/// Time to hand an event to its caller above which the caller is slow: the next event may have arrived meanwhile.
+const MAX_SEND_TIME: Duration = Duration::from_millis(5);
 /// Delay of a timer that isn't set; no stream runs that long.
 const UNSET_DELAY: Duration = Duration::from_secs(86_400);
 
@@ -60,16 +63,18 @@
     let first_ms = clock::now().saturating_sub(context.arrived).as_millis();
     tokio::task::spawn_local(async move {
         let context = Rc::new(context);
-        let outcome = forward_stream(&node, &context, history, stream, sender).await;
+        let mut gaps = record_first_event(&node, &context);
+        let outcome = forward_stream(&node, &context, history, stream, &mut gaps, sender).await;
         // The reasons for a failure are in log lines of their own.
         let event = if outcome == "answered" { outcome } else { "failed" };
         log::info!(
             "pump: event={event} id={} route={} outcome={outcome} first_ms={first_ms} total_ms={} \
-             target_ms={}",
+             target_ms={} max_gap_ms={}",
             context.metadata.id,
             context.route.name,
             clock::now().saturating_sub(context.arrived).as_millis(),
-            context.route.target_latency.as_millis()
+            context.route.target_latency.as_millis(),
+            gaps.longest().as_millis()
         );
         node.metrics.record_outcome(&context.route.name, outcome);
         drop(active);
@@ -96,11 +101,11 @@
     context: &Rc<Context>,
     mut history: History,
     mut stream: Stream,
+    gaps: &mut Gaps,
     sender: EventSender,
 ) -> &'static str {
-    let mut gaps = record_first_event(node, context);
     loop {
-        let handover = match forward_events(node, context, &mut stream, &mut gaps, &sender).await {
+        let handover = match forward_events(node, context, &mut stream, gaps, &sender).await {
             End::Complete => return "answered",
             End::CallerGone => {
                 log_event(context, &stream, "caller_gone", "");
@@ -188,13 +193,46 @@
     last_at: Duration,
     first_count: u32,
     is_recorded: bool,
+    last_count: u32,
+    /// Load of the endpoint at the last event.
+    last_load: Load,
+    /// Whether the next gap doesn't show the speed of the endpoint, as the node waited for the caller.
+    is_held: bool,
 }
 
 impl Pace {
     fn new(stream: &Stream) -> Pace {
         let now = clock::now();
         let first_count = stream.splitter.event_count;
-        Pace { first_at: now, last_at: now, first_count, is_recorded: false }
+        Pace {
+            first_at: now,
+            last_at: now,
+            first_count,
+            is_recorded: false,
+            last_count: first_count,
+            last_load: Load::default(),
+            // The first event has waited until the stream is forwarded.
+            is_held: true,
+        }
+    }
+
+    /// Records the time since the last event, with the load at its begin or end: prompts that were read in
+    /// between are no longer unread at the end.
+    fn record_gap(&mut self, node: &Node, stream: &Stream) {
+        let load = node.balancer.borrow().total_load(&stream.placement.endpoint.id);
+        let count = stream.splitter.event_count;
+        let events = count.saturating_sub(self.last_count);
+        if events > 0 && !self.is_held {
+            let unread_tokens = load.unread_tokens.max(self.last_load.unread_tokens);
+            let gap = clock::now().saturating_sub(self.last_at) / events;
+            stream.placement.record_gap(gap, Load { unread_tokens, ..load });
+        }
+        (self.last_count, self.last_load) = (count, load);
+    }
+
+    /// Records that an event has been handed to the caller.
+    fn record_sent(&mut self) {
+        self.is_held = clock::now().saturating_sub(self.last_at) > MAX_SEND_TIME;
     }
 
     /// Records the pace once `min_events` have followed the first ones.
@@ -285,6 +323,7 @@
                     return End::Broken("an event exceeds the size limit".to_owned());
                 }
                 let Some(whole_events) = whole_events else { continue };
+                pace.record_gap(node, stream);
                 pace.record_events(stream, PACE_EVENTS);
                 if gaps.record_event(clock::now()) {
                     node.lateness.borrow_mut().record_late(&context.service);
@@ -292,6 +331,7 @@
                 if sender.send(Ok(whole_events)).await.is_err() {
                     return End::CallerGone;
                 }
+                pace.record_sent();
             }
             ended if pending.is_some() => {
                 // The endpoint stopped the stream for the handover, or it ended before that.
