--- a/src/explain.rs
+++ b/src/explain.rs
@@ -18,8 +18,15 @@
 /// Fields whose value is an endpoint.
 const ENDPOINT_FIELDS: [&str; 4] = ["endpoint", "from", "to", "after"];
 /// Events of an endpoint that may affect its requests.
-const ENDPOINT_EVENTS: [&str; 5] =
-    ["endpoint_new", "endpoint_state", "endpoint_gone", "endpoint_paused", "endpoint_regained"];
+const ENDPOINT_EVENTS: [&str; 7] = [
+    "endpoint_new",
+    "endpoint_state",
+    "endpoint_gone",
+    "endpoint_paused",
+    "endpoint_regained",
+    "endpoint_slow",
+    "endpoint_recovered",
+];
 /// Events of a process that may affect all its requests.
 const PROCESS_EVENTS: [&str; 12] = [
     "start",
