--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,6 +49,7 @@
 pub mod share;
 pub mod shift;
 pub mod shortage;
+pub mod speed;
 pub mod stall;
 pub mod statement;
 mod stop;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -25,6 +25,7 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::share::{self, Share};
 use crate::gateway::shift::Shifts;
+use crate::gateway::speed::Speeds;
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics, serve};
 use crate::intake::{self, account, connections};
@@ -124,6 +125,7 @@
     pub own_endpoints_read_at: Cell<Option<Duration>>,
     pub first_endpoints_read_at: Cell<Option<Duration>>,
     pub balancer: RefCell<Balancer>,
+    pub speeds: RefCell<Speeds>,
     pub quotas: RefCell<Quotas>,
     pub budget: RefCell<Budget>,
     pub usage: RefCell<Usage>,
@@ -195,6 +197,7 @@
             own_endpoints_read_at: Cell::default(),
             first_endpoints_read_at: Cell::default(),
             balancer: RefCell::default(),
+            speeds: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota_window, settings.first_start)),
             budget: RefCell::new(Budget::new(retry_limit)),
             usage: RefCell::default(),
