--- a/src/explain.rs
+++ b/src/explain.rs
@@ -21,12 +21,14 @@
 const ENDPOINT_EVENTS: [&str; 5] =
     ["endpoint_new", "endpoint_state", "endpoint_gone", "endpoint_paused", "endpoint_regained"];
 /// Events of a process that may affect all its requests.
-const PROCESS_EVENTS: [&str; 12] = [
+const PROCESS_EVENTS: [&str; 14] = [
     "start",
     "stopping",
     "stopped",
     "catalog",
     "rollout",
+    "evacuation_begun",
+    "evacuation_ended",
     "reverted",
     "store_lost",
     "store_regained",
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -312,11 +312,14 @@
     let listed = roster.listed_domains();
     let concerns = roster.evacuations.concerns(&domain, &listed);
     drop(roster);
-    log::info!("evacuation: event=begun domain={domain}");
+    log::info!("evacuation: event=evacuation_begun domain={domain}");
     // Before the first list of endpoints, nothing is known of the domains.
     if node.endpoints_read_at.get().is_some() {
         for concern in concerns {
-            log::warn!("evacuation: event=doubtful domain={domain} reason={}", concern.name());
+            log::warn!(
+                "evacuation: event=evacuation_doubtful domain={domain} reason={}",
+                concern.name()
+            );
         }
     }
     // Queued requests that waited for the endpoints there are placed elsewhere or refused.
@@ -324,7 +327,7 @@
 }
 
 fn resume_domain(node: &Rc<Node>, domain: &str, source: &str) {
-    log::info!("evacuation: event=ended domain={domain} source={source}");
+    log::info!("evacuation: event=evacuation_ended domain={domain} source={source}");
     for id in node.roster.borrow_mut().resume_domain(domain, clock::now()) {
         cold::log_cold(&id, "evacuation");
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -99,7 +99,7 @@
             Cause::NoEndpoint => "the service had no endpoint; see endpoint_gone and order",
             Cause::Evacuated => {
                 "all endpoints of its service were in failure domains that the operators had ordered to \
-                 evacuate; see evacuation: event=begun and order"
+                 evacuate; see evacuation_begun and order"
             }
             Cause::Stopping => "the node was shutting down",
             Cause::Busy => {
