--- a/src/explain.rs
+++ b/src/explain.rs
@@ -28,12 +28,14 @@
     "endpoint_recovered",
 ];
 /// Events of a process that may affect all its requests.
-const PROCESS_EVENTS: [&str; 12] = [
+const PROCESS_EVENTS: [&str; 14] = [
     "start",
     "stopping",
     "stopped",
     "catalog",
     "rollout",
+    "evacuation_begun",
+    "evacuation_ended",
     "reverted",
     "store_lost",
     "store_regained",
