--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -545,8 +545,8 @@
     let rated: SmallVec<[Candidate<'_>; 32]> = entries
         .iter()
         .map(|entry| {
-            let factor = speeds.factor(&entry.endpoint.id, now);
-            let slowness = factor.unwrap_or_else(|| entry.health.slowness());
+            let observed = speeds.slowness(&entry.endpoint.id, now);
+            let slowness = observed.unwrap_or_else(|| entry.health.slowness());
             Candidate { endpoint: &entry.endpoint, slowness }
         })
         .collect();
--- a/src/gateway/speed.rs
+++ b/src/gateway/speed.rs
@@ -34,10 +34,9 @@
 /// Factor from which an endpoint is logged as slow, and below which as recovered.
 const SLOW_FACTOR: f64 = 1.5;
 const RECOVERED_FACTOR: f64 = 1.2;
-/// Least numbers of running requests, and of unread prompt tokens, of the levels above the lowest one.
+/// Least numbers of running requests of the levels above the lowest one.
 const RUNNING_LEVELS: [u32; 3] = [4, 8, 16];
-const UNREAD_LEVELS: [u32; 3] = [1, 4_096, 16_384];
-const GAP_KINDS: usize = (RUNNING_LEVELS.len() + 1) * (UNREAD_LEVELS.len() + 1);
+const GAP_KINDS: usize = RUNNING_LEVELS.len() + 1;
 
 /// What a node, or a failure domain, has observed of an endpoint, as it is sent to other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,12 +61,10 @@
 impl Sample {
     /// Returns the position of the mean with which the sample is compared, and its value.
     fn kind(self) -> (usize, f64) {
-        let level = |levels: &[u32], value: u32| levels.iter().filter(|it| value >= **it).count();
         match self {
             Sample::Gap(gap, load) => {
-                let unread = level(&UNREAD_LEVELS, load.unread_tokens);
-                let running = level(&RUNNING_LEVELS, load.requests);
-                (running * (UNREAD_LEVELS.len() + 1) + unread, gap.as_secs_f64())
+                let level = RUNNING_LEVELS.iter().filter(|it| load.requests >= **it).count();
+                (level, gap.as_secs_f64())
             }
             Sample::FirstEvent(ratio) => (GAP_KINDS, ratio),
             Sample::Response(ratio) => (GAP_KINDS + 1, ratio),
@@ -171,6 +168,10 @@
 impl Speeds {
     /// Records an observation of an endpoint of a service.
     pub fn record(&mut self, service: &Arc<str>, id: &Arc<str>, sample: Sample, now: Duration) {
+        // A gap in which prompts are read shows their length rather than the speed.
+        if matches!(sample, Sample::Gap(_, load) if load.unread_tokens > 0) {
+            return;
+        }
         let (kind, value) = sample.kind();
         let totals = match self.services.get_mut(service) {
             Some(totals) => totals,
@@ -244,6 +245,12 @@
         Some(clamp(mean.value(1.0, PRIOR_WEIGHT)))
     }
 
+    /// Returns the factor for the choice of an endpoint, at least 1: all nodes would send to the few endpoints that
+    /// seem fast until their loads are reported.
+    pub fn slowness(&self, id: &str, now: Duration) -> Option<f64> {
+        self.factor(id, now).map(|factor| factor.max(1.0))
+    }
+
     /// Forgets endpoints without observations, and returns those that have become slow or have recovered.
     pub fn refresh(&mut self, now: Duration) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/tests/endpoint_speed.rs
+++ b/tests/endpoint_speed.rs
@@ -187,7 +187,7 @@
         let hash = random.random();
         let job = Job { prompt: Some(&prompt), hash, deadline, gap_target: Some(deadline - now) };
         let candidates = endpoints.iter().enumerate().map(|(index, endpoint)| {
-            let factor = speeds[node].factor(&endpoint.id, now).filter(|_| learns);
+            let factor = speeds[node].slowness(&endpoint.id, now).filter(|_| learns);
             let slowness = factor.unwrap_or(health[node][index].slowness());
             Candidate { endpoint, slowness }
         });
