--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,6 +32,7 @@
 pub mod pause;
 pub mod peers;
 mod place;
+mod placement;
 pub mod platform;
 pub mod prefill;
 mod pump;
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -12,7 +12,8 @@
 use crate::gateway::gate;
 use crate::gateway::handle::Context;
 use crate::gateway::node::Node;
-use crate::gateway::place::{self, Placement};
+use crate::gateway::place;
+use crate::gateway::placement::Placement;
 use crate::gateway::platform::{State, Stop, Transfer};
 use crate::platform::Failure;
 
