Leave the speed factors out of the choice of an endpoint

Change: place::select uses the slowness from first events again. The factors are still learned, shared and shown to operators; the design note says so.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -415,16 +415,10 @@
         deadline,
         gap_target: catalog.as_ref().and_then(|it| it.gap_target(&context.service)),
     };
-    let speeds = node.speeds.borrow();
-    let rated: SmallVec<[Candidate<'_>; 32]> = entries
+    // The speed factors are not used here, see docs/design/endpoint-speed.md.
+    let candidates = entries
         .iter()
-        .map(|entry| {
-            let observed = speeds.slowness(&entry.endpoint.id, now);
-            let slowness = observed.unwrap_or_else(|| entry.health.slowness());
-            Candidate { endpoint: &entry.endpoint, slowness }
-        })
-        .collect();
-    let candidates = rated.iter().copied();
+        .map(|entry| Candidate { endpoint: &entry.endpoint, slowness: entry.health.slowness() });
     let domain = &node.settings.failure_domain;
     let mut balancer = node.balancer.borrow_mut();
     let claim = context.claim(tried);
@@ -457,7 +451,7 @@
     };
     let Some(entry) = roster.get(&choice.endpoint) else { return Selection::NoEndpoint };
     let endpoint = entry.endpoint.clone();
-    drop((entries, rated, speeds));
+    drop(entries);
     drop(roster);
     balancer.start_request(&choice, job.prompt, now);
     node.with_share(&context.service, |share| share.record_start(&claim, now));
