Confirm keys only by whole answers of the feed

Cause: the feed returns a backlog in parts that look like whole answers. The node that had the store back first took such a part for a read of all changes as of the call, confirmed its keys by it and told its peers so.

It is applied, confirms nothing, and the rest is read at once. A metric counts such answers.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -170,11 +170,13 @@
     let mut is_connected = true;
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_confirmed = true;
+    let mut is_partial = false;
     let max_wait = MAX_DECLARATION_WAIT.min(node.settings.bounds.max_key_age() / WAITS_PER_KEY_AGE);
     loop {
         let sent = clock::now();
         let is_reader = node.peers.borrow().is_reader(sent);
-        if !is_reader && after.is_some() && !needs_declarations(&node, sent) {
+        let is_due = is_reader || is_partial || needs_declarations(&node, sent);
+        if !is_due && after.is_some() {
             // Both a notification and the timeout lead to a new decision.
             let _ = tokio::time::timeout(CHECK_INTERVAL, node.declared.changed.notified()).await;
             continue;
@@ -183,7 +185,8 @@
         if read_at.is_some_and(|read_at| sent.saturating_sub(read_at) > MAX_HISTORY_AGE) {
             after = None;
         }
-        let wait = if is_reader && is_confirmed { max_wait } else { Duration::ZERO };
+        let is_waiting = is_reader && is_confirmed && !is_partial;
+        let wait = if is_waiting { max_wait } else { Duration::ZERO };
         let poll = LongPoll { after, wait };
         match (node.platform.declarations)(poll).await {
             Ok(batch) => {
@@ -191,8 +194,8 @@
                 node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
                 observe_era(&node, batch.version.era);
-                node.declared.own_read_at.set(Some(sent));
-                after = Some(batch.version);
+                let has_advanced = after.replace(batch.version) != Some(batch.version);
+                is_partial = batch.is_partial;
                 if batch.is_complete {
                     end_missing_evacuations(&node, &batch.changes);
                 }
@@ -200,12 +203,18 @@
                     apply_declaration(&node, declaration);
                 }
                 node.declared.record(batch.newest_change, batch.version);
+                if is_partial {
+                    await_rest(&node, "declarations", has_advanced).await;
+                    continue;
+                }
+                node.declared.own_read_at.set(Some(sent));
                 is_confirmed = confirm_declarations(&node, Some(sent), clock::now());
                 if !is_confirmed {
                     tokio::time::sleep(CHECK_INTERVAL).await;
                 }
             }
             Err(failure) => {
+                is_partial = false;
                 log_connection(&mut is_connected, false, "declarations", &failure.to_string());
                 if is_history_gone(&failure) {
                     after = None;
@@ -231,6 +240,16 @@
     }
 }
 
+/// Records an answer that may hold only the first of the changes. It says nothing about the time at which its call
+/// was sent, so it confirms nothing, and the rest is read without delay unless the platform doesn't advance.
+async fn await_rest(node: &Node, reads: &str, has_advanced: bool) {
+    node.metrics.record_partial_answer(reads);
+    if !has_advanced {
+        log::warn!("follow: event=feed_stuck reads={reads}");
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns whether a node that relies on a peer has to read the declarations itself.
 fn needs_declarations(node: &Node, now: Duration) -> bool {
     node.declared.told.get() > node.declared.version.get()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     full_rejections: Option<IntCounterVec>,
     restores: Option<IntCounterVec>,
     snapshot_writes: Option<IntCounterVec>,
+    partial_answers: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -102,6 +103,11 @@
             "Writes of the counters' snapshot to the store, by result.",
             &["result"],
         );
+        let partial_answers = counter(
+            "pomelolink_partial_answers_total",
+            "Answers of the platform that may hold only the first of the changes, by kind of read.",
+            &["reads"],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -169,6 +175,7 @@
             full_rejections,
             restores,
             snapshot_writes,
+            partial_answers,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -269,6 +276,12 @@
         }
     }
 
+    pub fn record_partial_answer(&self, reads: &str) {
+        if let Some(partial_answers) = &self.partial_answers {
+            partial_answers.with_label_values(&[reads]).inc();
+        }
+    }
+
     pub fn set_capacity_factor(&self, service: &str, factor: f64) {
         if let Some(capacity_factors) = &self.capacity_factors {
             capacity_factors.with_label_values(&[service]).set((factor * 100.0).round() as i64);
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -37,6 +37,8 @@
     pub newest_change: Version,
     /// Set if `changes` is the whole current content instead of the changes after a version.
     pub is_complete: bool,
+    /// Set if the platform may have had changes after `version` already when it answered.
+    pub is_partial: bool,
 }
 
 #[derive(Debug)]
--- a/tests/endpoint_notices.rs
+++ b/tests/endpoint_notices.rs
@@ -28,7 +28,7 @@
 
 fn batch(version: u64, changes: Vec<Change>) -> Batch<Change> {
     let version = Version::new(1, version);
-    Batch { changes, version, newest_change: version, is_complete: false }
+    Batch { changes, version, newest_change: version, is_complete: false, is_partial: false }
 }
 
 fn gone(version: u64) -> Notice {
@@ -91,6 +91,7 @@
         version: Version::new(1, 12),
         newest_change: Version::new(1, 12),
         is_complete: true,
+        is_partial: false,
     };
     assert_eq!(notices.apply_batch(complete), vec![endpoint(false)]);
 }
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -71,6 +71,7 @@
         version,
         newest_change: version,
         is_complete,
+        is_partial: false,
     };
     notices.apply_batch(batch(Version::new(1, 900), false));
     let gone = |version| Notice { version, change: Change::Removed("e".into()) };
