Read the rest of the list of endpoints at once

Requests reached an endpoint later than drain_ms after its draining was acknowledged, on a node that had just had the store back.

Cause: the list's feed returns at most some 500 rows at a time. A node took each part for the whole list as of the call, and read the next one only after 0.3 of drain_ms. With 800 endpoints that report every 1.2 s it barely catches up with what it missed.

Change: a partial answer is applied and told to peers, but the list isn't recorded as read, and the rest is read without delay.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -358,12 +358,14 @@
     let mut after = None;
     let mut is_connected = true;
     let mut retry_delay = MIN_RETRY_DELAY;
+    let mut is_partial = false;
     let drain = node.settings.bounds.drain;
     loop {
         let sent = clock::now();
         let age = node.endpoints_read_at.get().map(|read_at| sent.saturating_sub(read_at));
-        let is_reader = node.peers.borrow().is_reader(sent);
-        if !is_reader && age.is_some_and(|age| age < drain.mul_f64(MAX_PEER_READ_FRACTION)) {
+        let is_old = age.is_none_or(|age| age >= drain.mul_f64(MAX_PEER_READ_FRACTION));
+        let is_due = node.peers.borrow().is_reader(sent) || is_partial || is_old;
+        if !is_due {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -378,7 +380,8 @@
                 node.peers.borrow_mut().set_reaches_store(true);
                 retry_delay = MIN_RETRY_DELAY;
                 observe_era(&node, batch.version.era);
-                after = Some(batch.version);
+                let has_advanced = after.replace(batch.version) != Some(batch.version);
+                is_partial = batch.is_partial;
                 let is_complete = batch.is_complete;
                 let mut changes = node.notices.borrow_mut().apply_batch(batch);
                 if is_complete {
@@ -392,6 +395,10 @@
                 }
                 let outage = node.roster.borrow().last_outage();
                 apply_changes(&node, changes, is_complete, outage);
+                if is_partial {
+                    await_rest(&node, "endpoints", has_advanced).await;
+                    continue;
+                }
                 node.endpoints_read_at.set(node.endpoints_read_at.get().max(Some(sent)));
                 node.own_endpoints_read_at.set(Some(sent));
                 if own_read_at.is_none() {
@@ -401,6 +408,7 @@
                 tokio::time::sleep(drain.mul_f64(READ_DELAY_FRACTION)).await;
             }
             Err(failure) => {
+                is_partial = false;
                 log_connection(&mut is_connected, false, "endpoints", &failure.to_string());
                 if is_history_gone(&failure) {
                     after = None;
