Take only final statuses of endpoints for answers in the gateway

Callers got a worker's status 101 that nobody had asked for, 600 and 999, with the worker's seal.

Cause: the HTTP client hands on every status from 100 to 999 except informational ones, and 101 as a switch of protocols. The gateway checked seal and id only.

Change: a response outside of 2xx to 5xx is a failure with unknown outcome. Its headers aren't read and its connection is closed.

Result: odd_statuses_are_no_answers failed before ("a seal of 101: ... status: 101") and passes. Status 000 and early answers without length that are reset during an upload were refused before; their tests pass with and without the change.

--- a/src/endpoint/answer.rs
+++ b/src/endpoint/answer.rs
@@ -118,6 +118,12 @@
     check_framing(response)
 }
 
+/// Returns whether a status is one of a final response, that is, of the classes 2xx to 5xx of RFC 9110, section 15.
+/// An HTTP client may hand on others: an unasked switch of protocols, and numbers above 599.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn check_request_id(headers: &HeaderMap, id: Option<&http::HeaderValue>) -> Result<(), String> {
     match (id, headers.get(REQUEST_ID)) {
         (Some(sent), Some(echoed)) if sent != echoed => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::endpoint::answer;
 use crate::endpoint::pool::{Failure, Guard};
 use crate::gateway::clock;
 use crate::gateway::gate;
@@ -42,7 +43,8 @@
 ///
 /// # Errors
 ///
-/// Fails with `NotRun` only if no byte of the request was written.
+/// Fails with `NotRun` only if no byte of the request was written, and with `Unknown` if the connection failed or what
+/// came is no final response.
 pub async fn send(
     node: &Rc<Node>,
     endpoint: &Endpoint,
@@ -79,7 +81,7 @@
                 }
             }
         };
-        let head = result.map(|response| read_head(&node, &endpoint, &id, response, link));
+        let head = result.and_then(|response| read_head(&node, &endpoint, &id, response, link));
         if sender.send(head).is_err() {
             log::debug!("exchange: event=late_head id={id} endpoint={}", endpoint.id);
         }
@@ -94,7 +96,14 @@
     id: &str,
     response: Response<Incoming>,
     link: Link,
-) -> Head {
+) -> Result<Head, Failure> {
+    // Its headers count as little as its status. Dropping the link closes the connection.
+    if !answer::is_final(response.status()) {
+        return Err(Failure::Unknown(format!(
+            "status {} of no final response",
+            response.status().as_u16()
+        )));
+    }
     node.pools.record_response(&endpoint.domain, clock::now());
     let mut reply = (node.header_codec.parse_reply)(response.status(), response.headers());
     let is_other = reply.id.as_ref().is_some_and(|other| **other != *id);
@@ -103,5 +112,5 @@
         Some(stated) => statement::apply(node, endpoint, stated),
         None => statement::log_ignored(endpoint, "another endpoint has responded"),
     }
-    Head { response, reply, is_other, guard: link.into_guard() }
+    Ok(Head { response, reply, is_other, guard: link.into_guard() })
 }
