Take only final statuses of endpoints for answers in the daemon

Callers got a service's status 600 or 999, or 101 with a length, as the answer of a plain request. For a booking with an idempotency key it was recorded, and another entry VM repeated it.

Cause: answer::exchange checked the id and the framing of a response, not that its status is one of a final response.

Change: such a response is a failure with unknown outcome, in plain requests and chats, and a recorded answer with such a status is refused.

Status 000 and early answers that are reset were refused before.

--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -354,7 +354,8 @@
         let name: HeaderName = name.parse().map_err(|_| broken())?;
         headers.append(name, value.parse().map_err(|_| broken())?);
     }
-    let status = StatusCode::from_u16(recorded.status).map_err(|_| broken())?;
+    let status = StatusCode::from_u16(recorded.status).ok().filter(|it| answer::is_final(*it));
+    let status = status.ok_or_else(broken)?;
     let body = claim::unhex(&recorded.body).ok_or_else(broken)?;
     Ok(Answer { status, headers, body: body.into() })
 }
--- a/src/endpoint/answer.rs
+++ b/src/endpoint/answer.rs
@@ -27,7 +27,7 @@
 pub enum Fault {
     /// No byte of the request was written.
     NotRun(String),
-    /// The endpoint may have run the request.
+    /// The endpoint may have run the request, also if what came is no final response.
     Unknown(String),
     /// The endpoint responded, but the response was truncated, belongs to another request, or its
     /// end can't be told from a broken connection.
@@ -56,8 +56,8 @@
 /// # Errors
 ///
 /// Fails with `NotRun` only if no byte of the request was written, with `Unknown` if the connection
-/// failed or the deadline passed after that or the response echoes another request id, with
-/// `Incomplete` if the response was truncated or its end can't be detected, and with `TooLarge` if
+/// failed or the deadline passed after that, the response echoes another request id or its status is none of a
+/// final response, with `Incomplete` if the response was truncated or its end can't be detected, and with `TooLarge` if
 /// its body exceeds `max_bytes`.
 pub async fn exchange(
     pool: &Arc<Pool>,
@@ -86,6 +86,7 @@
     let mut guard = Guard::new(pool.clone(), connection);
     // A response to another request doesn't show whether this request was run.
     check_request_id(response.headers(), id.as_ref()).map_err(Fault::Unknown)?;
+    check_status(response.status())?;
     // A response to HEAD has no body, whatever its headers say.
     if !is_head {
         check_framing(&response)?;
@@ -105,16 +106,18 @@
     Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
 }
 
-/// Checks the echoed request id, and that a truncated body can be detected.
+/// Checks the echoed request id and the status, and that a truncated body can be detected.
 ///
 /// # Errors
 ///
-/// Fails with `Incomplete` if the id differs or the end of the body is not marked.
+/// Fails with `Incomplete` if the id differs or the end of the body is not marked, and with `Unknown` if the status is
+/// none of a final response.
 pub fn check_head(
     response: &Response<Incoming>,
     id: Option<&http::HeaderValue>,
 ) -> Result<(), Fault> {
     check_request_id(response.headers(), id).map_err(Fault::Incomplete)?;
+    check_status(response.status())?;
     check_framing(response)
 }
 
@@ -124,6 +127,13 @@
     (200..600).contains(&status.as_u16())
 }
 
+fn check_status(status: StatusCode) -> Result<(), Fault> {
+    match is_final(status) {
+        true => Ok(()),
+        false => Err(Fault::Unknown(format!("status {} of no final response", status.as_u16()))),
+    }
+}
+
 fn check_request_id(headers: &HeaderMap, id: Option<&http::HeaderValue>) -> Result<(), String> {
     match (id, headers.get(REQUEST_ID)) {
         (Some(sent), Some(echoed)) if sent != echoed => {
