--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -214,7 +214,6 @@
                 }
             }
             Err(failure) => {
-                is_partial = false;
                 log_connection(&mut is_connected, false, "declarations", &failure.to_string());
                 if is_history_gone(&failure) {
                     after = None;
@@ -408,7 +407,6 @@
                 tokio::time::sleep(drain.mul_f64(READ_DELAY_FRACTION)).await;
             }
             Err(failure) => {
-                is_partial = false;
                 log_connection(&mut is_connected, false, "endpoints", &failure.to_string());
                 if is_history_gone(&failure) {
                     after = None;
