--- a/src/endpoint/answer.rs
+++ b/src/endpoint/answer.rs
@@ -56,9 +56,9 @@
 /// # Errors
 ///
 /// Fails with `NotRun` only if no byte of the request was written, with `Unknown` if the connection
-/// failed or the deadline passed after that, the response echoes another request id or its status is none of a
-/// final response, with `Incomplete` if the response was truncated or its end can't be detected, and with `TooLarge` if
-/// its body exceeds `max_bytes`.
+/// failed or the deadline passed after that, the response echoes another request id or its status is
+/// none of a final response, with `Incomplete` if the response was truncated or its end can't be
+/// detected, and with `TooLarge` if its body exceeds `max_bytes`.
 pub async fn exchange(
     pool: &Arc<Pool>,
     request: Request<Full<Bytes>>,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -239,8 +239,8 @@
     }
 }
 
-/// Records an answer that may hold only the first of the changes. It says nothing about the time at which its call
-/// was sent, so it confirms nothing, and the rest is read without delay unless the platform doesn't advance.
+/// Counts an answer that may hold only the first of the changes, and delays the next read if the platform doesn't
+/// advance. Such an answer doesn't show all changes up to the time at which its call was sent, so it confirms nothing.
 async fn await_rest(node: &Node, reads: &str, has_advanced: bool) {
     node.metrics.record_partial_answer(reads);
     if !has_advanced {
