Send quota sums to other failure domains with each quota update

Cause: restored units expire a quarter of the window at a time, and the callers that were told to wait return then. The relay of a failure domain hurried its digest only for requests that it admitted itself, not for those of its direct peers, so the domains admitted the same room several times.

Change: a relay sends the quota sums of its domain, a small message of its own, when it sends or receives a quota update, at most every 25 ms. Digests keep their interval.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod node;
 pub mod notice;
+pub mod pace;
 pub mod pause;
 pub mod peers;
 mod place;
