--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,7 +21,7 @@
 use crate::gateway::follow::{self, Reading};
 use crate::gateway::node::Node;
 use crate::gateway::notice::Notice;
-use crate::gateway::pace::{Due, Pace};
+use crate::gateway::pace::Pace;
 use crate::gateway::peers::{self, Beat, Summary};
 use crate::gateway::quarantine;
 use crate::gateway::quota;
@@ -49,7 +49,6 @@
 const HEARTBEAT_FORMAT: u8 = 22;
 const QUOTA_FORMAT: u8 = 4;
 const DIGEST_FORMAT: u8 = 23;
-const QUOTA_SUMS_FORMAT: u8 = 24;
 
 type Counts = BTreeMap<Arc<str>, u64>;
 
@@ -172,19 +171,6 @@
     admitted: Vec<(Arc<str>, u64)>,
 }
 
-/// Quota sums of one failure domain, which its relay sends between two digests while a quota is nearly exhausted.
-#[derive(Debug, Serialize, Deserialize)]
-struct QuotaSums {
-    format: u8,
-    domain: Arc<str>,
-    node: Arc<str>,
-    incarnation: u64,
-    /// Number of the relay's message, counted together with its digests.
-    sequence: u64,
-    /// Quota units admitted for each tenant in the quota window.
-    window_sums: Vec<(Arc<str>, u64)>,
-}
-
 /// Sends and receives datagrams until the process ends.
 pub async fn run(node: Rc<Node>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -197,21 +183,19 @@
         tokio::select! {
             () = next_heartbeat.as_mut() => {
                 send_heartbeat(&node, &socket);
-                relay.send_if_due(&node, &socket);
+                relay.send_if_due(&node, &socket, false);
                 let interval = node.peers.borrow().heartbeat_interval();
                 next_heartbeat.as_mut().reset(tokio::time::Instant::now() + interval);
             }
             () = node.quota_update.notified(), if !is_update_pending => is_update_pending = true,
             // The timer keeps the minimum interval between two quota updates.
-            _ = update_timer.tick(), if is_update_pending || relay.pace.has_update() => {
-                if std::mem::take(&mut is_update_pending) {
-                    send_quota_update(&node, &socket);
-                    relay.pace.record_update();
-                }
-                relay.send_if_due(&node, &socket);
+            _ = update_timer.tick(), if is_update_pending => {
+                is_update_pending = false;
+                send_quota_update(&node, &socket);
+                relay.send_if_due(&node, &socket, true);
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => receive(&node, &socket, &mut relay, &buffer[..length], from),
+                Ok((length, from)) => receive(&node, &socket, &buffer[..length], from),
                 Err(error) => log::debug!("gossip: event=receive_failed error=\"{error}\""),
             },
         }
@@ -356,51 +340,27 @@
 /// Sends the digests while this node is the relay of its failure domain.
 #[derive(Debug, Default)]
 struct Relay {
-    /// Number of messages sent.
     sequence: u64,
-    /// Number of digests among them.
-    digests: u64,
     pace: Pace,
 }
 
 impl Relay {
-    /// Sends what is due if this node is the relay.
-    fn send_if_due(&mut self, node: &Rc<Node>, socket: &UdpSocket) {
+    /// Sends a digest if one is due and this node is the relay. `follows_update` states that this node has just
+    /// sent a quota update.
+    fn send_if_due(&mut self, node: &Rc<Node>, socket: &UdpSocket, follows_update: bool) {
         let now = clock::now();
-        let Some(due) = self.pace.due(now) else { return };
-        if !node.peers.borrow().is_relay(now) {
-            self.pace.forget_updates();
+        if !self.pace.is_due(follows_update, now) || !node.peers.borrow().is_relay(now) {
             return;
         }
-        self.pace.record_sent(due, now);
+        self.pace.record_digest(now);
         self.sequence += 1;
+        let digest = build_digest(node, self.sequence, now);
         let addresses = node.peers.borrow().relay_addresses(self.sequence, now);
-        match due {
-            Due::Digest => {
-                self.digests += 1;
-                let is_full = self.digests.is_multiple_of(FULL_EVERY);
-                broadcast(&build_digest(node, self.sequence, is_full, now), addresses, socket);
-            }
-            Due::Quotas => {
-                broadcast(&build_quota_sums(node, self.sequence, now), addresses, socket)
-            }
-        }
-    }
-}
-
-fn build_quota_sums(node: &Node, sequence: u64, now: Duration) -> QuotaSums {
-    let peers = node.peers.borrow();
-    QuotaSums {
-        format: QUOTA_SUMS_FORMAT,
-        domain: peers.domain().clone(),
-        node: peers.node().clone(),
-        incarnation: peers.incarnation(),
-        sequence,
-        window_sums: node.quotas.borrow_mut().domain_sums(now),
+        broadcast(&digest, addresses, socket);
     }
 }
 
-fn build_digest(node: &Rc<Node>, sequence: u64, is_full: bool, now: Duration) -> Digest {
+fn build_digest(node: &Rc<Node>, sequence: u64, now: Duration) -> Digest {
     let peers = node.peers.borrow();
     let (nodes, live) = peers.domain_counts(now);
     let mut loads: HashMap<Arc<str>, (Load, speed::Mean)> = HashMap::new();
@@ -416,7 +376,7 @@
     }
     let loads = loads.into_iter().map(|(id, (load, mean))| (id, load, mean.report()));
     let outage = node.roster.borrow().last_outage();
-    let usage_windows = if is_full { USAGE_WINDOWS } else { 0 };
+    let usage_windows = if sequence.is_multiple_of(FULL_EVERY) { USAGE_WINDOWS } else { 0 };
     Digest {
         format: DIGEST_FORMAT,
         domain: peers.domain().clone(),
@@ -459,22 +419,14 @@
     }
 }
 
-fn receive(node: &Rc<Node>, socket: &UdpSocket, relay: &mut Relay, data: &[u8], from: SocketAddr) {
+fn receive(node: &Rc<Node>, socket: &UdpSocket, data: &[u8], from: SocketAddr) {
     let result = match data.first() {
-        Some(&QUOTA_FORMAT) => postcard::from_bytes(data).map(|update| {
-            apply_update(node, &update);
-            relay.pace.record_update();
-        }),
+        Some(&QUOTA_FORMAT) => postcard::from_bytes(data).map(|update| apply_update(node, &update)),
         Some(&DIGEST_FORMAT) => postcard::from_bytes(data).map(|digest| {
             if apply_digest(node, digest) {
                 pass_on(node, socket, data, from);
             }
         }),
-        Some(&QUOTA_SUMS_FORMAT) => postcard::from_bytes(data).map(|sums| {
-            if apply_quota_sums(node, &sums) {
-                pass_on(node, socket, data, from);
-            }
-        }),
         Some(&HEARTBEAT_FORMAT) => {
             postcard::from_bytes(data).map(|heartbeat| apply_heartbeat(node, heartbeat, from))
         }
@@ -485,7 +437,7 @@
     }
 }
 
-/// Passes a message that came from another failure domain on within this one, if this node is its relay.
+/// Passes a digest that came from another failure domain on within this one, if this node is its relay.
 fn pass_on(node: &Rc<Node>, socket: &UdpSocket, data: &[u8], from: SocketAddr) {
     let now = clock::now();
     let peers = node.peers.borrow();
@@ -583,18 +535,6 @@
     crash::record_quarantined(node, &parts, peer);
 }
 
-/// Applies the quota sums of another failure domain; returns whether they are new to this node.
-fn apply_quota_sums(node: &Node, sums: &QuotaSums) -> bool {
-    let now = clock::now();
-    let mut peers = node.peers.borrow_mut();
-    if !peers.record_relay_message(&sums.node, sums.incarnation, sums.sequence) {
-        return false;
-    }
-    let mut quotas = node.quotas.borrow_mut();
-    quotas.set_domain_sums(&sums.domain, &sums.node, &sums.window_sums, now);
-    true
-}
-
 /// Applies the sums of another failure domain; returns whether they are new to this node.
 fn apply_digest(node: &Rc<Node>, digest: Digest) -> bool {
     let now = clock::now();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -335,17 +335,6 @@
         true
     }
 
-    /// Records a message that a relay of another failure domain sends between two digests; returns whether it is
-    /// newer than the last one and counts in this fleet.
-    pub fn record_relay_message(&mut self, node: &str, incarnation: u64, sequence: u64) -> bool {
-        let relay = self.relays.get_mut(node).filter(|it| it.incarnation == incarnation);
-        let Some(relay) = relay.filter(|it| self.is_split && it.sequence < sequence) else {
-            return false;
-        };
-        relay.sequence = sequence;
-        true
-    }
-
     /// Updates whether the fleet is split, the interval between heartbeats and the failure domains that are
     /// not heard, and drops relays that have not been heard for long.
     pub fn refresh(&mut self, now: Duration) {
