review: choose ports that no outgoing connection takes

Cause: one run of 25 of the scripts couldn't run (exit code 2). Its record was overwritten, so that the cause is suspected only: a port was chosen from the range for outgoing connections, and another process took it before the node bound it.

Change: the stand-ins choose ports below that range, free for TCP and UDP, and start a node again on others if it ends.

--- a/review/lib3/kit.py
+++ b/review/lib3/kit.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -66,9 +67,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free for TCP and UDP, below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randint(15_000, 32_000)
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Store:
@@ -213,7 +221,7 @@
             "retry_window_s": 10, "retry_slack": 52, "quota_window_s": 8, "report_window_s": 5,
             "exposure_fraction": 0.1, "exposure_tolerance": 50, **(bounds or {})}
         self.ports = [free_port() for _ in range(4)]
-        self.process = None
+        self.process, self.is_first = None, first
 
     @property
     def callers(self):
@@ -256,6 +264,10 @@
     async def wait_ready(self, within=15):
         end = time.monotonic() + within
         while time.monotonic() < end:
+            if self.process.poll() is not None:
+                # Another process has taken one of the ports since they were chosen.
+                self.ports, self.first = [free_port() for _ in range(4)], self.is_first
+                self.start()
             if await self.ready():
                 return True
             await asyncio.sleep(0.05)
