review: let each script read TROUBLE itself

Cause: the variable was read in the shared file only, where a reader of a case doesn't see it.

Change: each case.py reads it and passes it on.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -13,6 +13,9 @@
 import kit  # noqa: E402
 import plain  # noqa: E402
 
+# With TROUBLE=0 the same goes on without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 REVOKE_MS = 5_000
 
 
@@ -58,4 +61,4 @@
     return not any(broken.values())
 
 
-kit.run(__file__, main)
+kit.run(__file__, main, TROUBLE)
--- a/review/lib3/kit.py
+++ b/review/lib3/kit.py
@@ -286,11 +286,10 @@
                        "idle_timeout_ms": 15000}}
 
 
-def run(case, main):
+def run(case, main, trouble):
     """Runs a case: `main(record, folder, trouble, nodes)` returns True if the rule held, False if it was broken."""
     here = os.path.dirname(os.path.abspath(case))
     record = Record(here)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = tempfile.mkdtemp(prefix="pomelolink-review-")
     nodes = []
     code = 2
