Let no unreadable configuration confirm the one before

Callers saw: after a version that took a key away, moved routes and gave one of them the rank 300, all nodes went on with the version before.

Cause: the adapter decoded a configuration as one value. One field of an unexpected form made all of it unreadable, and the row was dropped. The read counted as one without changes, so that it confirmed the keys of the version before, here and at peers.

Requests that an unreadable entry decides on get 503, the others are served. A version of which nothing can be read makes the node refuse all requests and become unready; the readiness page and the log say why.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -55,6 +55,7 @@
 pub mod stall;
 pub mod statement;
 mod stop;
+pub mod unreadable;
 pub mod usage;
 pub mod verdict;
 pub mod version;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -129,6 +129,48 @@
     pub idle_timeout: Duration,
 }
 
+/// Which requests an unreadable route may be for; `None` if that part of its place can't be read either.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    pub host: Option<Arc<str>>,
+    pub path_prefix: Option<Arc<str>>,
+}
+
+impl Place {
+    /// Returns whether a request may be for this route instead of the readable one that matches it best.
+    fn may_match(&self, host: &str, path: &str, best: Option<&Route>) -> bool {
+        let is_longer = |prefix: &str| match (&self.host, best) {
+            (_, None) => true,
+            (Some(_), Some(best)) => prefix.len() >= best.path_prefix.len(),
+            // The same prefix may well stand on another host.
+            (None, Some(best)) => prefix.len() > best.path_prefix.len(),
+        };
+        self.host.as_ref().is_none_or(|it| **it == *host)
+            && self
+                .path_prefix
+                .as_ref()
+                .map_or(best.is_none(), |prefix| path.starts_with(&**prefix) && is_longer(prefix))
+    }
+}
+
+/// An entry that can't be read, or one of its fields, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// Kind and name of the entry, such as `route chat`; its number from 1 if the name can't be read.
+    pub entry: String,
+    pub reason: String,
+}
+
+/// What can't be read of a version. The rest of it holds; see "Unreadable rows" in `docs/platform.md`.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    pub problems: Vec<Problem>,
+    /// Routes whose requests are refused.
+    pub routes: Vec<Place>,
+    /// Set if some tenants or keys are unknown, so that a key which isn't listed may still be valid.
+    pub tenants: bool,
+}
+
 /// The declarations of one version as they were written, before they are indexed.
 #[derive(Debug, Clone)]
 pub struct Draft {
@@ -137,6 +179,7 @@
     pub services: Vec<Service>,
     pub tenants: Vec<Tenant>,
     pub limits: Limits,
+    pub unreadable: Unreadable,
 }
 
 /// One version of the declarations; a node never returns to a lower version.
@@ -146,27 +189,30 @@
     pub services: HashMap<Arc<str>, Service>,
     pub tenants: Vec<Arc<Tenant>>,
     pub limits: Limits,
+    pub unreadable: Unreadable,
+    /// Set if callers of routes that aren't anonymous need a key.
+    requires_keys: bool,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Tenant>>,
     /// Smallest declared gap aim of each service's routes.
     gap_targets: HashMap<Arc<str>, Duration>,
 }
 
-impl From<Draft> for Catalog {
-    fn from(draft: Draft) -> Catalog {
-        let Draft { version, routes, services, tenants, limits } = draft;
-        Catalog::new(version, routes, services, tenants, limits)
-    }
+/// Result of looking up the key that a request carries.
+#[derive(Debug)]
+pub enum Access<'a> {
+    Tenant(&'a Arc<Tenant>),
+    /// The version contains no tenants.
+    Open,
+    /// No tenant has the key, or a key is missing.
+    Denied,
+    /// The key may be that of a tenant that can't be read.
+    Unreadable,
 }
 
-impl Catalog {
-    pub fn new(
-        version: u64,
-        routes: Vec<Route>,
-        services: Vec<Service>,
-        tenants: Vec<Tenant>,
-        limits: Limits,
-    ) -> Catalog {
+impl From<Draft> for Catalog {
+    fn from(draft: Draft) -> Catalog {
+        let Draft { version, routes, services, tenants, limits, unreadable } = draft;
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         let mut gap_targets: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
@@ -179,6 +225,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let requires_keys = !tenants.is_empty() || unreadable.tenants;
         let tenants: Vec<_> = tenants.into_iter().map(Arc::new).collect();
         let mut keys = HashMap::new();
         for tenant in &tenants {
@@ -186,16 +233,37 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Catalog { version, services, tenants, limits, routes: by_host, keys, gap_targets }
+        Catalog {
+            version,
+            services,
+            tenants,
+            limits,
+            unreadable,
+            requires_keys,
+            routes: by_host,
+            keys,
+            gap_targets,
+        }
     }
+}
 
+impl Catalog {
     /// Returns the route with the longest matching path prefix; `None` if the host or path has no route.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.split(':').next().unwrap_or(host);
-        let routes = self.routes.get(host)?;
+        let routes = self.routes.get(without_port(host))?;
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns whether a request may be for a route that can't be read, instead of the one that `route` returns.
+    pub fn may_hide_route(&self, host: &str, path: &str) -> bool {
+        let places = &self.unreadable.routes;
+        if places.is_empty() {
+            return false;
+        }
+        let best = self.route(host, path).map(|route| &**route);
+        places.iter().any(|place| place.may_match(without_port(host), path, best))
+    }
+
     /// Returns the smallest gap aim that the routes of a service declare.
     pub fn gap_target(&self, service: &str) -> Option<Duration> {
         self.gap_targets.get(service).copied()
@@ -206,6 +274,26 @@
         !self.gap_targets.is_empty()
     }
 
+    /// Returns what the key of a request allows on routes that aren't anonymous.
+    pub fn access(&self, key: Option<&str>) -> Access<'_> {
+        match key.and_then(|key| self.tenant(key)) {
+            Some(tenant) => Access::Tenant(tenant),
+            None if !self.requires_keys => Access::Open,
+            None if self.unreadable.tenants => Access::Unreadable,
+            None => Access::Denied,
+        }
+    }
+
+    /// Returns why no request can be served, if what can't be read is the reason.
+    pub fn blockade(&self) -> Option<&'static str> {
+        if self.routes.is_empty() && !self.unreadable.routes.is_empty() {
+            return Some("no route can be read");
+        }
+        let is_open = |route: &Arc<Route>| route.anonymous;
+        let has_access = !self.keys.is_empty() || self.routes().any(is_open);
+        (self.unreadable.tenants && !has_access).then_some("no API key can be read")
+    }
+
     /// Returns the tenant that owns an API key.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.keys.get(key)
@@ -215,3 +303,7 @@
         self.routes.values().flatten()
     }
 }
+
+fn without_port(host: &str) -> &str {
+    host.split(':').next().unwrap_or(host)
+}
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -371,7 +371,9 @@
             );
         }
         planner.factors().for_each(|(it, factor)| node.metrics.set_capacity_factor(it, factor));
-        let Some(token) = context.valid_grant().map(|grant| grant.fence) else {
+        // The refusals while the configuration can't be read show no fall in demand.
+        let grant = context.valid_grant().filter(|_| !node.is_catalog_unreadable.get());
+        let Some(token) = grant.map(|grant| grant.fence) else {
             planner.clear_orders();
             continue;
         };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,12 +9,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::gateway::catalog::{Catalog, Problem};
 use crate::gateway::clock;
 use crate::gateway::cold;
 use crate::gateway::node::Node;
 use crate::gateway::notice::{self, Notice};
 use crate::gateway::peers::Receipt;
 use crate::gateway::platform::{Change, Declaration, LongPoll};
+use crate::gateway::unreadable::Kind;
 use crate::gateway::version::Version;
 use crate::platform::Failure;
 
@@ -40,6 +42,8 @@
 const MAX_PEER_READ_FRACTION: f64 = 0.5;
 /// Age of its own reads up to which a node reports them to its peers.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(4);
+/// Key under which the row with the catalog is listed while it can't be read.
+const CATALOG_ROW: &str = "newest";
 /// First and longest delay after a failed call; the delay doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -210,7 +214,10 @@
                 node.declared.own_read_at.set(Some(sent));
                 is_confirmed = confirm_declarations(&node, Some(sent), clock::now());
                 if !is_confirmed {
-                    tokio::time::sleep(CHECK_INTERVAL).await;
+                    // Until an operator has written another version, there is nothing to confirm.
+                    let is_unreadable = node.is_catalog_unreadable.get();
+                    let delay = if is_unreadable { MAX_DECLARATION_WAIT } else { CHECK_INTERVAL };
+                    tokio::time::sleep(delay).await;
                 }
             }
             Err(failure) => {
@@ -273,19 +280,13 @@
 fn apply_declaration(node: &Rc<Node>, declaration: Declaration) {
     match declaration {
         Declaration::Catalog(catalog) => {
-            let current = node.catalog().map(|catalog| catalog.version);
-            if current.is_some_and(|current| catalog.version <= current) {
-                return;
-            }
-            let version = catalog.version;
-            let rules = catalog.services.values();
-            let rules = rules.filter_map(|it| Some((it.name.clone(), it.cold?))).collect();
-            let excess = node.settings.bounds.cold;
-            node.roster.borrow_mut().stated.cold.configure(rules, excess, clock::now());
-            node.quotas.borrow_mut().configure(&catalog.tenants, clock::now());
-            *node.catalog.borrow_mut() = Some(Arc::from(catalog));
-            node.wake_all();
-            log::info!("follow: event=catalog version={version} before={current:?}");
+            node.is_catalog_unreadable.set(false);
+            node.unreadable.borrow_mut().clear(Kind::Catalog, CATALOG_ROW);
+            apply_catalog(node, catalog);
+        }
+        Declaration::UnreadableCatalog { reason } => {
+            node.is_catalog_unreadable.set(true);
+            node.record_unreadable(Kind::Catalog, CATALOG_ROW, &reason);
         }
         Declaration::Rollout { service, version, time_limit, revision } => {
             log::info!(
@@ -309,6 +310,37 @@
     }
 }
 
+/// Puts a catalog into force unless this node has it or a newer one. A version of which parts can't be read may be
+/// corrected under the same number.
+fn apply_catalog(node: &Rc<Node>, catalog: Box<Catalog>) {
+    let current = node.catalog();
+    let is_known = current.as_ref().is_some_and(|current| {
+        catalog.version < current.version
+            || catalog.version == current.version && catalog.unreadable == current.unreadable
+    });
+    if is_known {
+        return;
+    }
+    let (version, before) = (catalog.version, current.map(|current| current.version));
+    let rules = catalog.services.values();
+    let rules = rules.filter_map(|it| Some((it.name.clone(), it.cold?))).collect();
+    let excess = node.settings.bounds.cold;
+    node.roster.borrow_mut().stated.cold.configure(rules, excess, clock::now());
+    node.quotas.borrow_mut().configure(&catalog.tenants, clock::now());
+    for Problem { entry, reason } in &catalog.unreadable.problems {
+        log::error!(
+            "follow: event=unreadable_entry version={version} entry=\"{entry}\" reason=\"{reason}\""
+        );
+    }
+    let reason = catalog.blockade();
+    if let Some(reason) = reason {
+        log::error!("follow: event=nothing_served version={version} reason=\"{reason}\"");
+    }
+    *node.catalog.borrow_mut() = Some(Arc::from(catalog));
+    node.wake_all();
+    log::info!("follow: event=catalog version={version} before={before:?}");
+}
+
 /// Ends the evacuations that a complete read of the declarations doesn't hold.
 fn end_missing_evacuations(node: &Rc<Node>, declarations: &[Declaration]) {
     let ordered = declarations.iter().filter_map(|declaration| match declaration {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body as _, Incoming};
 use xxhash_rust::xxh3;
 
-use crate::gateway::catalog::{Catalog, Route, Tenant};
+use crate::gateway::catalog::{Access, Catalog, Route, Tenant};
 use crate::gateway::clock;
 use crate::gateway::crash;
 use crate::gateway::forward;
@@ -27,6 +27,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Retry-After value for refusals whose cause lies in this node; another node may serve sooner.
 const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Retry-After value for refusals that last until an operator has written another version.
+const UNREADABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// An admitted request with its route, service, tenant and deadlines.
 #[derive(Debug)]
@@ -151,8 +153,14 @@
     let Some(catalog) = node.catalog() else {
         return Err(((Cause::NoCatalog, retry_after), id, unknown));
     };
+    if node.is_catalog_unreadable.get() {
+        return Err((unreadable(hash(&id)), id, unknown));
+    }
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    if catalog.may_hide_route(host, head.uri.path()) {
+        return Err((unreadable(hash(&id)), id, unknown));
+    }
     let Some(route) = catalog.route(host, head.uri.path()).cloned() else {
         return Err(((Cause::NoRoute, None), id, unknown));
     };
@@ -219,14 +227,18 @@
     hash: u64,
     now: Duration,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
-    if route.anonymous || catalog.tenants.is_empty() {
+    if route.anonymous {
         return Ok(None);
     }
-    if !node.keys_are_fresh(now) {
-        return Err((Cause::StaleKeys, Some(queue::jitter(OTHER_NODE_RETRY_AFTER, hash))));
+    match catalog.access(metadata.key.as_deref()) {
+        Access::Open => Ok(None),
+        _ if !node.keys_are_fresh(now) => {
+            Err((Cause::StaleKeys, Some(queue::jitter(OTHER_NODE_RETRY_AFTER, hash))))
+        }
+        Access::Tenant(tenant) => Ok(Some(tenant.clone())),
+        Access::Unreadable => Err(unreadable(hash)),
+        Access::Denied => Err((Cause::UnknownKey, None)),
     }
-    let tenant = metadata.key.as_deref().and_then(|key| catalog.tenant(key));
-    tenant.cloned().map(Some).ok_or((Cause::UnknownKey, None))
 }
 
 /// Charges a request to its tenant's quota.
@@ -275,6 +287,10 @@
     })
 }
 
+fn unreadable(hash: u64) -> Refusal {
+    (Cause::Unreadable, Some(queue::jitter(UNREADABLE_RETRY_AFTER, hash)))
+}
+
 fn memory_full(hash: u64) -> Refusal {
     (Cause::MemoryFull, Some(queue::jitter(OTHER_NODE_RETRY_AFTER, hash)))
 }
--- a/src/gateway/lint.rs
+++ b/src/gateway/lint.rs
@@ -72,6 +72,9 @@
 /// Returns the problems of a draft, errors first.
 pub fn check(draft: &Draft) -> Vec<Finding> {
     let mut report = Report::default();
+    for problem in &draft.unreadable.problems {
+        report.error(&problem.entry, &*problem.reason);
+    }
     check_names(&mut report, draft);
     for route in &draft.routes {
         check_route(&mut report, route, draft);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use crate::gateway::clock;
 use crate::gateway::node::Node;
 use crate::gateway::platform::Call;
+use crate::gateway::unreadable::Kind;
 use crate::platform::Failure;
 
 /// Upper bounds of the histogram buckets.
@@ -29,6 +30,7 @@
     restores: Option<IntCounterVec>,
     snapshot_writes: Option<IntCounterVec>,
     partial_answers: Option<IntCounterVec>,
+    unreadable_rows: Option<IntCounterVec>,
     platform_calls: Option<IntCounterVec>,
     node_gauges: Option<IntGaugeVec>,
     peer_ages: Option<IntGaugeVec>,
@@ -108,6 +110,11 @@
             "Answers of the platform that may hold only the first of the changes, by kind of read.",
             &["reads"],
         );
+        let unreadable_rows = counter(
+            "pomelolink_unreadable_rows_total",
+            "Rows of the platform that this node found unreadable, by kind.",
+            &["kind"],
+        );
         let options = HistogramOpts::new(
             "pomelolink_first_byte_seconds",
             "Time in seconds from a request's arrival to its response or first event.",
@@ -176,6 +183,7 @@
             restores,
             snapshot_writes,
             partial_answers,
+            unreadable_rows,
             platform_calls,
             node_gauges,
             peer_ages,
@@ -282,6 +290,12 @@
         }
     }
 
+    pub fn record_unreadable_row(&self, kind: Kind) {
+        if let Some(unreadable_rows) = &self.unreadable_rows {
+            unreadable_rows.with_label_values(&[kind.name()]).inc();
+        }
+    }
+
     pub fn set_capacity_factor(&self, service: &str, factor: f64) {
         if let Some(capacity_factors) = &self.capacity_factors {
             capacity_factors.with_label_values(&[service]).set((factor * 100.0).round() as i64);
@@ -306,6 +320,12 @@
         let age = node.key_age(now).map_or(-1, |age| age.as_millis() as i64);
         set("catalog_age_ms", age);
         set("catalog_version", node.catalog().map_or(-1, |catalog| catalog.version as i64));
+        set("catalog_unreadable", i64::from(node.is_catalog_unreadable.get()));
+        let catalog = node.catalog();
+        let problems = catalog.map_or(0, |catalog| catalog.unreadable.problems.len());
+        set("catalog_unreadable_entries", problems as i64);
+        let unreadable = Kind::ALL.map(|kind| node.unreadable.borrow().count(kind));
+        set("unreadable_rows", unreadable.iter().sum::<usize>() as i64);
         set("endpoints", node.roster.borrow().iter().count() as i64);
         set("nodes_heard", node.peers.borrow().live_count(now) as i64);
         set("active_requests", node.active.get() as i64);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -26,6 +26,7 @@
 use crate::gateway::share::{self, Share};
 use crate::gateway::shift::Shifts;
 use crate::gateway::speed::Speeds;
+use crate::gateway::unreadable;
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics, serve};
 use crate::intake::{self, account, connections};
@@ -99,6 +100,9 @@
     /// milliseconds.
     pub incarnation: u64,
     pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Set while the newest catalog can't be read at all: the one that this node has is no longer in force.
+    pub is_catalog_unreadable: Cell<bool>,
+    pub unreadable: RefCell<unreadable::Rows>,
     /// Time as of which the declarations are known: when the last successful read was sent, by this node
     /// or by a peer that found no newer version.
     pub declarations_read_at: Cell<Option<Duration>>,
@@ -183,6 +187,8 @@
             platform,
             header_codec,
             catalog: RefCell::default(),
+            is_catalog_unreadable: Cell::default(),
+            unreadable: RefCell::default(),
             declarations_read_at: Cell::default(),
             declared: follow::Declared::default(),
             listed_at: Cell::default(),
@@ -233,6 +239,15 @@
         self.catalog.borrow().clone()
     }
 
+    /// Records that a row can't be read; returns whether this is news.
+    pub fn record_unreadable(&self, kind: unreadable::Kind, key: &str, reason: &str) -> bool {
+        let is_news = self.unreadable.borrow_mut().record(kind, key, reason);
+        if is_news {
+            self.metrics.record_unreadable_row(kind);
+        }
+        is_news
+    }
+
     /// Records the version of a peer's catalog.
     pub fn record_told_catalog(&self, version: u64, now: Duration) {
         if version >= self.told_catalog(now) {
@@ -270,14 +285,29 @@
         self.key_age(now).is_some_and(|age| age < self.settings.bounds.max_key_age())
     }
 
-    /// Returns whether the load balancer may send new connections to this node.
-    pub fn is_ready(&self) -> bool {
+    /// Returns why the load balancer should send no new connections to this node; `None` if it is ready.
+    pub fn unready_reason(&self) -> Option<&'static str> {
         let now = clock::now();
-        let has_configuration =
-            self.catalog.borrow().is_some() && self.endpoints_read_at.get().is_some();
+        let catalog = self.catalog.borrow();
+        let blockade = catalog.as_ref().and_then(|catalog| catalog.blockade());
         let is_recovering = now.saturating_sub(self.started_at) < QUOTA_RECOVERY_TIMEOUT;
-        let has_quotas = !is_recovering || !self.quotas.borrow().is_missing_history();
-        has_configuration && has_quotas && !self.stopping.get() && self.keys_are_fresh(now)
+        if self.stopping.get() {
+            Some("the process is stopping")
+        } else if self.is_catalog_unreadable.get() {
+            Some("the newest configuration can't be read")
+        } else if catalog.is_none() {
+            Some("no configuration was read yet")
+        } else if blockade.is_some() {
+            blockade
+        } else if self.endpoints_read_at.get().is_none() {
+            Some("the list of endpoints was not read yet")
+        } else if !self.keys_are_fresh(now) {
+            Some("the configuration was last confirmed too long ago")
+        } else if is_recovering && self.quotas.borrow().is_missing_history() {
+            Some("the use of quotas is not known yet")
+        } else {
+            None
+        }
     }
 
     /// Returns the versions and ages of the data that decisions use, for log lines.
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -44,6 +44,10 @@
 #[derive(Debug)]
 pub enum Declaration {
     Catalog(Box<catalog::Catalog>),
+    /// A newer catalog of which nothing can be read, so that the one before is no longer in force.
+    UnreadableCatalog {
+        reason: String,
+    },
     /// Moves the traffic of a service to a version before a deadline.
     Rollout {
         service: Arc<str>,
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -11,6 +11,8 @@
 pub enum Cause {
     /// The node has read no declarations yet.
     NoCatalog,
+    /// The part of the newest declarations that decides on the request can't be read.
+    Unreadable,
     NoRoute,
     BadRequest,
     BodyTooLarge,
@@ -47,8 +49,9 @@
 }
 
 impl Cause {
-    const ALL: [Cause; 20] = [
+    const ALL: [Cause; 21] = [
         Cause::NoCatalog,
+        Cause::Unreadable,
         Cause::NoRoute,
         Cause::BadRequest,
         Cause::BodyTooLarge,
@@ -79,6 +82,10 @@
     pub fn reason(self) -> &'static str {
         match self {
             Cause::NoCatalog => "the node had read no declarations yet",
+            Cause::Unreadable => {
+                "the part of the newest declarations that decides on it could not be read; see \
+                 unreadable_row and unreadable_entry"
+            }
             Cause::NoRoute => "no route matches this host and path",
             Cause::BadRequest => "its headers could not be parsed",
             Cause::BodyTooLarge => "its body is larger than the declared limit",
@@ -130,6 +137,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Cause::NoCatalog => "no_catalog",
+            Cause::Unreadable => "unreadable",
             Cause::NoRoute => "no_route",
             Cause::BadRequest => "bad_request",
             Cause::BodyTooLarge => "body_too_large",
@@ -162,6 +170,7 @@
             Cause::UnknownKey => StatusCode::UNAUTHORIZED,
             Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Cause::NoCatalog
+            | Cause::Unreadable
             | Cause::Stopping
             | Cause::MemoryFull
             | Cause::StaleKeys
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -110,10 +110,11 @@
 /// Answers readiness probes until the process ends.
 pub async fn readiness(node: Rc<Node>, listener: TcpListener) {
     serve_all(node, listener, |node| {
-        let mut response = Response::new(Body::whole(Bytes::new()));
-        if !node.is_ready() {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
+        let Some(reason) = node.unready_reason() else {
+            return Response::new(Body::whole(Bytes::new()));
+        };
+        let mut response = Response::new(Body::whole(reason));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         response
     })
     .await;
