Drop endpoints whose rows can't be read

Callers saw: a worker that had written that it leaves, in a row with one field of an unexpected form, still got requests after the drain bound, 21 to 23 of 40 in the test.

Cause: the adapter dropped a row that it couldn't decode, with a line at level debug, so the endpoint stayed as its last readable row said.

An unreadable row is a change of its own: the endpoint leaves, at peers too, whatever outage was before, and comes back with a row that can be read. It is logged once and counted.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -420,6 +420,7 @@
                     add_removals(&node, &mut changes);
                 }
                 keep_leaving(&node, &mut changes);
+                record_readability(&node, &mut changes, is_complete);
                 // What a node reads at its start is known to its peers.
                 if own_read_at.is_some() {
                     publish_changes(&node, &changes);
@@ -471,6 +472,25 @@
     }
 }
 
+/// Records which rows can be read, and leaves out those that still can't: they change nothing that is known.
+fn record_readability(node: &Node, changes: &mut Vec<Change>, is_complete: bool) {
+    if is_complete {
+        let listed: HashSet<&str> = changes.iter().map(|change| &**change.id()).collect();
+        node.unreadable.borrow_mut().retain(Kind::Endpoint, |id| listed.contains(id));
+    }
+    let roster = node.roster.borrow();
+    changes.retain(|change| match change {
+        Change::Updated(_) | Change::Removed(_) => {
+            node.unreadable.borrow_mut().clear(Kind::Endpoint, change.id());
+            true
+        }
+        Change::Unreadable { id, reason } => {
+            let is_news = node.record_unreadable(Kind::Endpoint, id, reason);
+            is_news || roster.get(id).is_some()
+        }
+    });
+}
+
 /// Queues changes for the peers, except the regular reports of endpoints that change nothing.
 fn publish_changes(node: &Node, changes: &[Change]) {
     let roster = node.roster.borrow();
@@ -515,10 +535,10 @@
         for change in changes {
             match &change {
                 Change::Updated(endpoint) => prepare_update(&roster, endpoint, node),
-                Change::Removed(id) if roster.get(id).is_some() => {
+                Change::Removed(id) | Change::Unreadable { id, .. } if roster.get(id).is_some() => {
                     log::info!("follow: event=endpoint_gone endpoint={id}");
                 }
-                Change::Removed(_) => {}
+                Change::Removed(_) | Change::Unreadable { .. } => {}
             }
             if let Some(id) = roster.apply_read(change, outage, drain, now) {
                 has_departures = true;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -40,7 +40,7 @@
             let same = Endpoint { cold_for: known.endpoint.cold_for, ..endpoint.clone() };
             known.endpoint != same || is_colder || known.is_missing()
         }
-        (Change::Updated(_), None) | (Change::Removed(_), _) => true,
+        (Change::Updated(_), None) | (Change::Removed(_) | Change::Unreadable { .. }, _) => true,
     }
 }
 
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -88,6 +88,13 @@
 pub enum Change {
     Updated(Endpoint),
     Removed(Arc<str>),
+    /// The endpoint's row is there and names no endpoint to use.
+    Unreadable {
+        id: Arc<str>,
+        /// Empty for a change that a peer has read.
+        #[serde(skip)]
+        reason: String,
+    },
 }
 
 impl Change {
@@ -95,7 +102,7 @@
     pub fn id(&self) -> &Arc<str> {
         match self {
             Change::Updated(endpoint) => &endpoint.id,
-            Change::Removed(id) => id,
+            Change::Removed(id) | Change::Unreadable { id, .. } => id,
         }
     }
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -247,16 +247,27 @@
                     && let Some(entry) = self.entries.get_mut(&id)
                 {
                     entry.missing_until = Some(until);
-                } else if let Some(entry) = self.entries.remove(&id) {
-                    let leaves_at = entry.leaves_at.unwrap_or(now + drain);
-                    self.departed.insert(id.clone(), leaves_at);
-                    self.gone.insert((id.clone(), entry.endpoint.started_ms), now);
+                } else if let Some(started_ms) = self.depart(&id, drain, now) {
+                    self.gone.insert((id.clone(), started_ms), now);
                 }
                 Some(id)
             }
+            // No outage explains a row that is there. It may be mended, so this start isn't known to be gone.
+            Change::Unreadable { id, .. } => {
+                self.depart(&id, drain, now)?;
+                Some(id)
+            }
         }
     }
 
+    /// Drops an endpoint, which serves what it runs for as long as a draining one; returns its start if it was known.
+    fn depart(&mut self, id: &Arc<str>, drain: Duration, now: Duration) -> Option<u64> {
+        let entry = self.entries.remove(id)?;
+        let leaves_at = entry.leaves_at.unwrap_or(now + drain);
+        self.departed.insert(id.clone(), leaves_at);
+        Some(entry.endpoint.started_ms)
+    }
+
     /// Sets an endpoint that the list shows as ready to leaving if this start of it is known to leave: a leaving
     /// endpoint never stays, whatever an older row says.
     pub fn keep_leaving(&self, endpoint: &mut Endpoint) {
@@ -333,7 +344,7 @@
                 let start = (endpoint.id.clone(), endpoint.started_ms);
                 self.entries.contains_key(&endpoint.id) || !self.gone.contains_key(&start)
             }
-            Change::Removed(_) => true,
+            Change::Removed(_) | Change::Unreadable { .. } => true,
         });
     }
 
--- a/src/gateway/unreadable.rs
+++ b/src/gateway/unreadable.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Forgets the rows of a kind that are gone.
+    pub fn retain(&mut self, kind: Kind, mut is_listed: impl FnMut(&str) -> bool) {
+        if let Some(keys) = self.keys.get_mut(&kind) {
+            keys.retain(|key| is_listed(key));
+        }
+    }
+
     /// Returns the number of rows of a kind.
     pub fn count(&self, kind: Kind) -> usize {
         self.keys.get(&kind).map_or(0, BTreeSet::len)
