Let orders of roll-outs that can't be read end the ones before

Callers saw: an order with one field of an unexpected form was not carried out and nobody was told. Its version got half of the requests, as one of which no roll-out is known, and an order in progress that it replaced went on.

Cause: the adapter dropped the row, so that the older order, or none, stayed in force.

An order whose version or time limit can't be read replaces the one before, whose version gets nothing more, and its own version, if known, is recorded as reverted.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -293,6 +293,7 @@
                 "follow: event=rollout service={service} to={version} within={time_limit:?} \
                  revision={revision}"
             );
+            node.unreadable.borrow_mut().clear(Kind::Rollout, &service);
             let now = clock::now();
             let mut shifts = node.shifts.borrow_mut();
             if shifts.start(service.clone(), version, time_limit, revision, now) {
@@ -300,6 +301,14 @@
                 node.rollout_declared.notify_one();
             }
         }
+        Declaration::UnreadableRollout { service, version, revision, reason } => {
+            node.record_unreadable(Kind::Rollout, &service, &reason);
+            let mut shifts = node.shifts.borrow_mut();
+            if shifts.start_unreadable(service.clone(), version, revision, clock::now()) {
+                shifts.await_record(&service);
+                node.rollout_declared.notify_one();
+            }
+        }
         Declaration::Evacuation { domain } => begin_evacuation(node, domain),
         Declaration::EvacuationEnd { domain } => {
             let is_ended = node.roster.borrow_mut().evacuations.end(&domain);
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -55,6 +55,13 @@
         time_limit: Duration,
         revision: Version,
     },
+    /// An order of a roll-out that can't be carried out, since its version or time limit can't be read.
+    UnreadableRollout {
+        service: Arc<str>,
+        version: Option<Arc<str>>,
+        revision: Version,
+        reason: String,
+    },
     /// Nothing more is sent to the endpoints of a failure domain.
     Evacuation {
         domain: Arc<str>,
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -127,7 +127,10 @@
 
 #[derive(Debug)]
 struct Shift {
+    /// Empty, which no endpoint's version is, if it can't be read.
     version: Arc<str>,
+    /// Whether the order can't be carried out because a part of it can't be read. Its version gets nothing.
+    is_unreadable: bool,
     time_limit: Duration,
     revision: Version,
     read_at: Duration,
@@ -333,6 +336,9 @@
     /// limit, or of which no endpoint is left then, is taken back.
     fn decide_phase(&self, has_endpoint: bool, now: Duration) -> Phase {
         let fraction = self.elapsed_fraction(now);
+        if self.phase == Phase::InProgress && self.is_unreadable {
+            return Phase::Reverted;
+        }
         if self.phase != Phase::InProgress || fraction < COMPLETION_START {
             return self.phase;
         }
@@ -446,13 +452,16 @@
                 return false;
             }
             earlier = std::mem::take(&mut shift.earlier);
-            earlier.add(shift.revision, &shift.version, shift.phase);
+            if !shift.version.is_empty() {
+                earlier.add(shift.revision, &shift.version, shift.phase);
+            }
             declared = std::mem::take(&mut shift.declared);
             declared.push((shift.revision.number, shift.version.clone(), shift.time_limit));
             declared.drain(..declared.len().saturating_sub(MAX_DECLARED));
         }
         let mut shift = Shift {
             version,
+            is_unreadable: false,
             time_limit,
             revision,
             read_at: now,
@@ -480,6 +489,26 @@
         true
     }
 
+    /// Ends the roll-out before an order that can't be read, unless its revision or a later one is known; returns
+    /// whether it did.
+    ///
+    /// Neither the order nor the one that it replaces can be carried out. If the version of the order is known, it is
+    /// recorded as reverted, so that operators are told.
+    pub fn start_unreadable(
+        &mut self,
+        service: Arc<str>,
+        version: Option<Arc<str>>,
+        revision: Version,
+        now: Duration,
+    ) -> bool {
+        let version = version.unwrap_or_default();
+        let is_started = self.start(service.clone(), version, Duration::ZERO, revision, now);
+        if let Some(shift) = self.shifts.get_mut(&service).filter(|_| is_started) {
+            shift.is_unreadable = true;
+        }
+        is_started
+    }
+
     /// Gives the new version of a service no requests until the record of its roll-out has been read.
     pub fn await_record(&mut self, service: &Arc<str>) {
         self.unread.insert(service.clone());
@@ -513,7 +542,7 @@
         let selects_new = match shift.phase {
             Phase::Completed => true,
             Phase::Reverted => false,
-            Phase::InProgress if self.unread.contains(service) => false,
+            Phase::InProgress if shift.is_unreadable || self.unread.contains(service) => false,
             Phase::InProgress => {
                 let position = xxh3::xxh3_64_with_seed(&hash.to_le_bytes(), shift.revision.number);
                 (position as f64 / u64::MAX as f64) < shift.share()
@@ -535,7 +564,8 @@
 
     /// Returns the new version of a service and the phase of its roll-out.
     pub fn phase(&self, service: &str) -> Option<(&Arc<str>, Phase)> {
-        self.shifts.get(service).map(|shift| (&shift.version, shift.phase))
+        let shift = self.shifts.get(service).filter(|shift| !shift.version.is_empty())?;
+        Some((&shift.version, shift.phase))
     }
 
     /// Counts a sample of an endpoint's version.
@@ -588,7 +618,7 @@
         };
         self.shifts
             .iter()
-            .filter(|(service, _)| !self.unread.contains(*service))
+            .filter(|(service, shift)| !self.unread.contains(*service) && !shift.version.is_empty())
             .map(entry)
             .collect()
     }
