Tell own rows that can't be read from missing ones

Seen with one spoiled row of the gateway's table: a node was never listed, no later usage window was reported, a later roll-out was never recorded, and a node that started sent requests to a version whose record it couldn't read.

Cause: the adapter left out what it couldn't read. A conditional write that expects no row is then refused each time.

Change: such rows keep their version and have the value null, so that they can be replaced. Counts that may have been sent are not sent again, and a version whose record may hold its end gets nothing from nodes that don't know it.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -240,11 +240,17 @@
                 for row in rows.rows {
                     let window =
                         row.key.strip_prefix(USAGE_KEY_PREFIX).and_then(|it| it.parse().ok());
-                    let counts = read_counts(&row.value);
-                    if let (Some(window), Some(counts)) = (window, counts) {
-                        // What this node has recorded itself may have been sent.
-                        let counts = lost.remove(&window).unwrap_or(counts);
-                        self.stored.insert(window, counts);
+                    let Some(window) = window else { continue };
+                    let counts = context.node.decode_own(&row).map(own_counts);
+                    // What this node has recorded itself may have been sent.
+                    match lost.remove(&window).or(counts) {
+                        Some(counts) => {
+                            self.stored.insert(window, counts);
+                        }
+                        // Its counts may have been sent, and other ones must not follow.
+                        None => {
+                            self.sent.insert(window);
+                        }
                     }
                 }
                 if !self.store_again(context, lost).await {
@@ -344,9 +350,8 @@
     serde_json::Value::Object(entries.collect())
 }
 
-fn read_counts(value: &serde_json::Value) -> Option<Counts> {
-    let counts = value.as_object()?;
-    counts.iter().map(|(name, count)| Some((name.as_str().into(), count.as_u64()?))).collect()
+fn own_counts(counts: BTreeMap<Arc<str>, u64>) -> Counts {
+    counts.into_iter().collect()
 }
 
 /// Orders endpoints to match the demand.
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use tokio::sync::{Notify, watch};
 
 use crate::gateway::balancer::Balancer;
@@ -26,10 +27,11 @@
 use crate::gateway::share::{self, Share};
 use crate::gateway::shift::Shifts;
 use crate::gateway::speed::Speeds;
-use crate::gateway::unreadable;
+use crate::gateway::unreadable::{self, Kind};
 use crate::gateway::usage::{Source, Usage};
 use crate::gateway::{clock, follow, metrics, serve};
 use crate::intake::{self, account, connections};
+use crate::platform::Row;
 
 /// Longest time after a start for which the node stays unready while it doesn't know how much of
 /// their quotas the tenants have used.
@@ -240,7 +242,7 @@
     }
 
     /// Records that a row can't be read; returns whether this is news.
-    pub fn record_unreadable(&self, kind: unreadable::Kind, key: &str, reason: &str) -> bool {
+    pub fn record_unreadable(&self, kind: Kind, key: &str, reason: &str) -> bool {
         let is_news = self.unreadable.borrow_mut().record(kind, key, reason);
         if is_news {
             self.metrics.record_unreadable_row(kind);
@@ -248,6 +250,20 @@
         is_news
     }
 
+    /// Decodes a row that the gateway has written; `None` if it can't be read.
+    pub fn decode_own<T: DeserializeOwned>(&self, row: &Row) -> Option<T> {
+        match T::deserialize(&row.value) {
+            Ok(value) => {
+                self.unreadable.borrow_mut().clear(Kind::Own, &row.key);
+                Some(value)
+            }
+            Err(error) => {
+                self.record_unreadable(Kind::Own, &row.key, &error.to_string());
+                None
+            }
+        }
+    }
+
     /// Records the version of a peer's catalog.
     pub fn record_told_catalog(&self, version: u64, now: Duration) {
         if version >= self.told_catalog(now) {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -26,6 +26,8 @@
 const MAX_UNCOMPLETED: usize = 16;
 /// Delay after a read that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay after a read that showed a record which can't be read. A node that knows the roll-out replaces it.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Recorded state of the newest roll-out of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,24 +91,28 @@
     }
 }
 
-/// Record of a service with the version of its row.
-type Stored = (u64, Record);
+/// Record of a service with the version of its row; `None` if the record can't be read.
+type Stored = (u64, Option<Record>);
 
 /// Reads the records by service and adopts those of known roll-outs.
 async fn read(node: &Node) -> Result<HashMap<Arc<str>, Stored>, Failure> {
-    let awaited = node.shifts.borrow().awaited_records();
+    let mut awaited = node.shifts.borrow().awaited_records();
     let rows = (node.platform.rows)(KEY_PREFIX.to_owned()).await?;
     let record = |row: Row| {
         let service = row.key.strip_prefix(KEY_PREFIX)?.into();
-        let record = Record::deserialize(&row.value).inspect_err(|error| {
-            log::error!("rollout: event=bad_record key={} error=\"{error}\"", row.key);
-        });
-        Some((service, (row.version, record.ok()?)))
+        Some((service, (row.version, node.decode_own(&row))))
     };
     let records: HashMap<Arc<str>, Stored> = rows.rows.into_iter().filter_map(record).collect();
-    node.shifts
-        .borrow_mut()
-        .adopt_records(&awaited, |service| records.get(service).map(|(_, record)| record));
+    let mut shifts = node.shifts.borrow_mut();
+    // A record that can't be read may say how this roll-out has ended, unless it is older than the order.
+    awaited.retain(|service| match records.get(service) {
+        Some((version, None)) => {
+            shifts.revision(service).is_none_or(|revision| Version::unpack(*version) < revision)
+        }
+        _ => true,
+    });
+    shifts.adopt_records(&awaited, |service| records.get(service)?.1.as_ref());
+    drop(shifts);
     Ok(records)
 }
 
@@ -115,9 +121,15 @@
 pub async fn watch_records(node: Rc<Node>) {
     loop {
         while !node.shifts.borrow().awaited_records().is_empty() {
-            if let Err(failure) = read(&node).await {
-                log::info!("rollout: event=records_unread reason=\"{failure}\"");
-                tokio::time::sleep(RETRY_DELAY).await;
+            let delay = match read(&node).await {
+                Ok(_) => UNREADABLE_RETRY_DELAY,
+                Err(failure) => {
+                    log::info!("rollout: event=records_unread reason=\"{failure}\"");
+                    RETRY_DELAY
+                }
+            };
+            if !node.shifts.borrow().awaited_records().is_empty() {
+                let _ = tokio::time::timeout(delay, node.rollout_declared.notified()).await;
             }
         }
         node.rollout_declared.notified().await;
@@ -149,8 +161,9 @@
         }
         for (service, record) in due_records(node) {
             let stored = self.stored.get(&service);
-            let is_known = stored.is_some_and(|(_, it)| *it == record);
-            let is_outdated = stored.is_some_and(|(_, it)| it.revision > record.revision);
+            let stored = stored.and_then(|(_, it)| it.as_ref());
+            let is_known = stored.is_some_and(|it| *it == record);
+            let is_outdated = stored.is_some_and(|it| it.revision > record.revision);
             if !is_known && !is_outdated && grant() == Some(fence) {
                 self.write(node, service, record).await;
             }
@@ -174,7 +187,7 @@
             Ok(Outcome::Done(row_version)) => {
                 log::info!("rollout: event=phase service={service} phase={phase:?}");
                 node.shifts.borrow_mut().apply_phase(&service, record.revision, phase);
-                self.stored.insert(service, (row_version, record));
+                self.stored.insert(service, (row_version, Some(record)));
             }
             outcome => {
                 log::warn!(
--- a/src/gateway/shift.rs
+++ b/src/gateway/shift.rs
@@ -519,6 +519,11 @@
         self.unread.clone()
     }
 
+    /// Returns the revision of a service's newest roll-out.
+    pub fn revision(&self, service: &str) -> Option<Version> {
+        self.shifts.get(service).map(|shift| shift.revision)
+    }
+
     /// Adopts the records of all known roll-outs. `awaited` are the services that were awaited when the read was
     /// sent; `find` returns the record of a service.
     pub fn adopt_records<'a>(
