Take over a lease whose row can't be read

Seen with a spoiled row of the duties' lease: no node performed the duties again, so that no usage was reported.

Cause: the fencing number in such a row is unknown, so it was never taken over. The numbers of the gateway's holders come from the clock, and are above it.

Change: where that is so, the row is taken over a term after its last change, and the new holder makes no call before. Elsewhere it stays as it was.

--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -213,7 +213,17 @@
                 self.poll_later(now, expiry)
             }
             // A row that does not parse cannot be taken over, since its fencing number is unknown.
-            None if seen.row_version.is_some() => self.poll_later(now, now + self.term),
+            None if seen.row_version.is_some() && self.least_fence == 0 => {
+                self.poll_later(now, now + self.term)
+            }
+            // A number from a clock is above it. Whoever still holds the lease writes the row within the term.
+            None if seen.row_version.is_some() => {
+                let expiry = seen.first_seen + self.term + self.term / DRIFT_DIVISOR;
+                if now > expiry {
+                    return self.write(now, seen.row_version, self.next_fence(0), expiry);
+                }
+                self.poll_later(now, expiry)
+            }
             // The platform may have lost the row of a lease that is still held.
             None if self.known_fence > 0 => {
                 let end = seen.first_seen + self.term + self.term / DRIFT_DIVISOR;
