Read the daemon's lists of VMs and notices an entry at a time

Effect: one entry with a field of another type made the daemon keep its last list, so that a VM which leaves got requests until it was gone. The log said so at level debug.

Cause: the client of the platform decoded a list as one value.

Change: an entry that can't be read is left out and logged as an error when it is new to the list; numbers are read in every form.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,10 +4,10 @@
 //! code that sent it reads the rows back before it proceeds. The platform's protocol is confined to
 //! this module.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +19,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::util::number;
+
 /// Largest response body that the client accepts; a configuration of 10,000 resources fits.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -108,6 +110,7 @@
 pub struct Notice {
     pub vm: Arc<str>,
     /// Time from the platform's response until the VM is gone, in milliseconds.
+    #[serde(deserialize_with = "number::deserialize_whole")]
     pub left_ms: u64,
 }
 
@@ -148,6 +151,8 @@
     address: SocketAddr,
     timeout: Duration,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
+    /// Entries of lists that can't be read, by path, as of the last answer.
+    unreadable: Arc<Mutex<BTreeMap<&'static str, BTreeSet<String>>>>,
 }
 
 impl Client {
@@ -159,7 +164,7 @@
             .pool_idle_timeout(Duration::from_secs(10))
             .retry_canceled_requests(false)
             .build(connector);
-        Client { address, timeout, http }
+        Client { address, timeout, http, unreadable: Arc::default() }
     }
 
     pub async fn transact(&self, transaction: &Transaction) -> Outcome {
@@ -203,12 +208,22 @@
         self.call(Method::GET, &format!("/objects?prefix={prefix}"), Bytes::new()).await
     }
 
+    /// Returns the VMs whose entries can be read. One that can't names no VM to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or its answer is no list.
     pub async fn vms(&self) -> Result<Vec<Vm>, Failure> {
-        self.call(Method::GET, "/vms", Bytes::new()).await
+        self.list("/vms").await
     }
 
+    /// Returns the notices that can be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or its answer is no list.
     pub async fn notices(&self) -> Result<Vec<Notice>, Failure> {
-        self.call(Method::GET, "/cloud/notices", Bytes::new()).await
+        self.list("/cloud/notices").await
     }
 
     /// Starts a VM and returns its id, or `Ok(None)` if the platform refuses the start.
@@ -221,6 +236,28 @@
         self.send(Method::POST, "/cloud/stop", body).await.map(drop)
     }
 
+    /// Reads a list an entry at a time, so that one that can't be read doesn't hide the others. Such an entry is logged
+    /// when it is new to the list.
+    async fn list<T: DeserializeOwned>(&self, path: &'static str) -> Result<Vec<T>, Failure> {
+        let entries: Vec<serde_json::Value> = self.call(Method::GET, path, Bytes::new()).await?;
+        let (mut list, mut unreadable) = (Vec::with_capacity(entries.len()), BTreeMap::new());
+        for entry in entries {
+            match T::deserialize(&entry) {
+                Ok(entry) => list.push(entry),
+                Err(error) => {
+                    unreadable.insert(entry.to_string(), error);
+                }
+            }
+        }
+        let mut known = self.unreadable.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = known.entry(path).or_default();
+        for (entry, error) in unreadable.iter().filter(|(entry, _)| !known.contains(*entry)) {
+            log::error!("platform: entry of {path} that can't be read: {error}: {entry}");
+        }
+        *known = unreadable.into_keys().collect();
+        Ok(list)
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         method: Method,
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,3 +1,4 @@
 //! Helpers shared by several modules.
 
+pub mod number;
 pub mod serve;
