Take a revision that can't be read for a failed read

Effect: a head row of the daemon's configuration without a whole number counted as revision 0. The node took its own revision for the newest, and the next change through it would have been revision 1, which no node applies.

Cause: a missing and an unreadable revision were read as the same.

Change: a revision is read in every form of a number. One that can't be read fails the read; the node asks its peers, logs the failure once and refuses changes with the reason.

--- a/src/revision.rs
+++ b/src/revision.rs
@@ -6,13 +6,14 @@
 pub mod commit;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use serde::Deserialize;
 use tokio::sync::{Notify, watch};
 
 use crate::platform;
 use crate::resource::{Catalog, Id, Kind, Resource};
+use crate::util::number;
 
 mod follow;
 
@@ -28,11 +29,17 @@
 pub struct State {
     sender: watch::Sender<Arc<Catalog>>,
     fetch_requested: Notify,
+    /// Failure of the last read of the platform.
+    last_failure: Mutex<Option<platform::Failure>>,
 }
 
 impl Default for State {
     fn default() -> State {
-        State { sender: watch::Sender::new(Arc::default()), fetch_requested: Notify::new() }
+        State {
+            sender: watch::Sender::new(Arc::default()),
+            fetch_requested: Notify::new(),
+            last_failure: Mutex::default(),
+        }
     }
 }
 
@@ -87,7 +94,7 @@
     known: u64,
 ) -> Result<Option<Catalog>, platform::Failure> {
     let head = client.read_row(HEAD_KEY).await?;
-    let revision = head.as_ref().and_then(|row| row.value.as_u64()).unwrap_or(0);
+    let revision = head.as_ref().map_or(Ok(0), head_revision)?;
     if revision <= known {
         return Ok(None);
     }
@@ -95,15 +102,30 @@
         keys: vec![HEAD_KEY.to_owned()],
         prefixes: vec![RESOURCE_PREFIX.to_owned()],
     };
-    Ok(Some(from_rows(&client.read(&query).await?)))
+    from_rows(&client.read(&query).await?).map(Some)
 }
 
-/// Builds a catalog from the rows of one consistent read; skips rows that do not parse.
-pub fn from_rows(rows: &BTreeMap<String, platform::Row>) -> Catalog {
+/// Returns the revision in the head row.
+///
+/// # Errors
+///
+/// Returns an error if it can't be read: it then says neither that there is a newer revision nor that there is none.
+fn head_revision(row: &platform::Row) -> Result<u64, platform::Failure> {
+    number::deserialize_whole(&row.value).map_err(|error| {
+        platform::Failure::NotRun(format!("row {HEAD_KEY} holds no revision: {error}"))
+    })
+}
+
+/// Builds a catalog from the rows of one consistent read; skips rows of resources that do not parse.
+///
+/// # Errors
+///
+/// Returns an error if the revision can't be read.
+pub fn from_rows(rows: &BTreeMap<String, platform::Row>) -> Result<Catalog, platform::Failure> {
     let mut catalog = Catalog::default();
     for (key, row) in rows {
         if key == HEAD_KEY {
-            catalog.revision = row.value.as_u64().unwrap_or(0);
+            catalog.revision = head_revision(row)?;
             continue;
         }
         let Some((id, resource)) = parse_row(key, &row.value) else {
@@ -112,7 +134,7 @@
         };
         catalog.resources.insert(id, resource);
     }
-    catalog
+    Ok(catalog)
 }
 
 fn parse_row(key: &str, value: &serde_json::Value) -> Option<(Id, Resource)> {
--- a/src/revision/commit.rs
+++ b/src/revision/commit.rs
@@ -200,7 +200,7 @@
 ///
 /// Returns the failure of the platform call.
 pub async fn read_base(client: &platform::Client) -> Result<Base, platform::Failure> {
-    Ok(split_rows(client.read(&query(None, None)).await?, None).0)
+    split_rows(client.read(&query(None, None)).await?, None).map(|(base, _)| base)
 }
 
 /// Applies an edit as one conditional transaction and records the operation.
@@ -370,7 +370,8 @@
             Err(failure) => return Err(history.failure(failure.to_string())),
         };
         let condition = lease.map(|lease| lease.condition(&mut rows)).transpose();
-        let (base, recorded) = split_rows(rows, operation);
+        let split = split_rows(rows, operation);
+        let (base, recorded) = split.map_err(|failure| history.failure(failure.to_string()))?;
         if let (Some(row), Some(operation)) = (recorded, operation) {
             return recorded_result(&row, operation);
         }
@@ -435,7 +436,7 @@
 fn split_rows(
     mut rows: BTreeMap<String, Row>,
     operation: Option<&Operation>,
-) -> (Base, Option<Row>) {
+) -> Result<(Base, Option<Row>), platform::Failure> {
     let recorded = operation.and_then(|operation| rows.remove(&operation_key(&operation.id)));
     let head = rows.get(HEAD_KEY).map(|row| row.version);
     let versions = rows.iter().filter_map(|(key, row)| {
@@ -443,7 +444,7 @@
         Some((Id::new(kind.parse().ok()?, name), row.version))
     });
     let versions = versions.collect();
-    (Base { catalog: revision::from_rows(&rows), versions, head }, recorded)
+    Ok((Base { catalog: revision::from_rows(&rows)?, versions, head }, recorded))
 }
 
 fn recorded_result(row: &Row, operation: &Operation) -> Result<Committed, Failure> {
--- a/src/revision/follow.rs
+++ b/src/revision/follow.rs
@@ -1,7 +1,7 @@
 //! The loop that fetches new configurations from the platform and from peers.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use futures_util::future;
@@ -83,14 +83,22 @@
 }
 
 async fn poll(state: &State, client: &platform::Client, network: &Network) {
-    match fetch(client, state.current().revision).await {
+    let fetched = fetch(client, state.current().revision).await;
+    log_failure(state, fetched.as_ref().err());
+    match fetched {
         Ok(Some(catalog)) => apply(state, catalog, "platform"),
         Ok(None) => {}
-        Err(failure) => {
-            log::debug!("revision: cannot read the platform, asking peers: {failure}");
-            pull_from_members(state, network).await;
-        }
+        Err(_) => pull_from_members(state, network).await,
+    }
+}
+
+/// Logs a failure of the platform unless it was the last one too.
+fn log_failure(state: &State, failure: Option<&platform::Failure>) {
+    let mut last = state.last_failure.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(failure) = failure.filter(|failure| last.as_ref() != Some(failure)) {
+        log::warn!("revision: cannot read the platform, asking peers: {failure}");
     }
+    *last = failure.cloned();
 }
 
 /// Asks several members concurrently and applies the catalog with the highest revision.
--- a/tests/unreadable_platform.rs
+++ b/tests/unreadable_platform.rs
@@ -7,6 +7,7 @@
 use axum::extract::State;
 use axum::http::Uri;
 use pomelolink::platform::Client;
+use pomelolink::revision::{self, commit};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
@@ -55,3 +56,20 @@
     let notices: Vec<_> = notices.iter().map(|it| (&*it.vm, it.left_ms)).collect();
     assert_eq!(notices, [("one", 2_500), ("three", 900)]);
 }
+
+/// Guards against a revision that can't be read and counts as no news, or from which the next change counts on.
+#[tokio::test]
+async fn unreadable_revision_is_a_failure() {
+    let head = |value: Value| json!([{ "key": "config/head", "version": 5, "value": value }]);
+    let (client, answer) = platform(head(json!(7.0))).await;
+    let catalog = revision::fetch(&client, 6).await.expect("a read").expect("a newer revision");
+    assert_eq!(catalog.revision, 7);
+    for value in [json!("seven"), Value::Null, json!(-1)] {
+        *answer.lock().expect("no panic") = head(value.clone());
+        let failure = revision::fetch(&client, 6).await.expect_err("no revision");
+        assert!(failure.to_string().contains("config/head"), "{failure}");
+        assert!(commit::read_base(&client).await.is_err(), "{value}");
+    }
+    *answer.lock().expect("no panic") = json!([]);
+    assert!(revision::fetch(&client, 6).await.expect("a read").is_none(), "no configuration yet");
+}
