Let an empty list of tenants close the routes

Cause: the adapter read an absent list as an empty one, and an empty list counted as a configuration that asks for no keys.

Change: a configuration that contains a list asks for a key, also if the list is empty. Without a list a request needs none; one that carries a key all the same gets 401, as no configuration in force holds it. The version alone decides, also at a first start.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -177,7 +177,8 @@
     pub version: u64,
     pub routes: Vec<Route>,
     pub services: Vec<Service>,
-    pub tenants: Vec<Tenant>,
+    /// `None` if the version contains no list of tenants. An empty one takes all keys away.
+    pub tenants: Option<Vec<Tenant>>,
     pub limits: Limits,
     pub unreadable: Unreadable,
 }
@@ -190,7 +191,7 @@
     pub tenants: Vec<Arc<Tenant>>,
     pub limits: Limits,
     pub unreadable: Unreadable,
-    /// Set if callers of routes that aren't anonymous need a key.
+    /// Set if callers of routes that aren't anonymous need a key, also while no tenant has one.
     requires_keys: bool,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Tenant>>,
@@ -202,7 +203,7 @@
 #[derive(Debug)]
 pub enum Access<'a> {
     Tenant(&'a Arc<Tenant>),
-    /// The version contains no tenants.
+    /// The version contains no tenants, and the request carries no key.
     Open,
     /// No tenant has the key, or a key is missing.
     Denied,
@@ -225,8 +226,8 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let requires_keys = !tenants.is_empty() || unreadable.tenants;
-        let tenants: Vec<_> = tenants.into_iter().map(Arc::new).collect();
+        let requires_keys = tenants.is_some() || unreadable.tenants;
+        let tenants: Vec<_> = tenants.into_iter().flatten().map(Arc::new).collect();
         let mut keys = HashMap::new();
         for tenant in &tenants {
             keys.extend(tenant.keys.iter().map(|key| (key.clone(), tenant.clone())));
@@ -274,11 +275,12 @@
         !self.gap_targets.is_empty()
     }
 
-    /// Returns what the key of a request allows on routes that aren't anonymous.
+    /// Returns what the key of a request allows on routes that aren't anonymous. A key that the version doesn't hold
+    /// is unknown, also if the version contains no tenants: it may be one that was taken away with them.
     pub fn access(&self, key: Option<&str>) -> Access<'_> {
         match key.and_then(|key| self.tenant(key)) {
             Some(tenant) => Access::Tenant(tenant),
-            None if !self.requires_keys => Access::Open,
+            None if key.is_none() && !self.requires_keys => Access::Open,
             None if self.unreadable.tenants => Access::Unreadable,
             None => Access::Denied,
         }
--- a/src/gateway/lint.rs
+++ b/src/gateway/lint.rs
@@ -83,7 +83,7 @@
     for service in &draft.services {
         check_service(&mut report, service, draft);
     }
-    for tenant in &draft.tenants {
+    for tenant in draft.tenants.iter().flatten() {
         check_tenant(&mut report, tenant);
     }
     check_keys(&mut report, draft);
@@ -97,7 +97,7 @@
     let names = [
         ("route", draft.routes.iter().map(|it| &it.name).collect::<Vec<_>>()),
         ("service", draft.services.iter().map(|it| &it.name).collect()),
-        ("tenant", draft.tenants.iter().map(|it| &it.name).collect()),
+        ("tenant", draft.tenants.iter().flatten().map(|it| &it.name).collect()),
     ];
     for (kind, names) in names {
         let mut seen = BTreeSet::new();
@@ -238,7 +238,7 @@
 /// Reports API keys of several tenants; the key itself is a secret and not shown.
 fn check_keys(report: &mut Report, draft: &Draft) {
     let mut owners: BTreeMap<&str, &Tenant> = BTreeMap::new();
-    for tenant in &draft.tenants {
+    for tenant in draft.tenants.iter().flatten() {
         for key in &tenant.keys {
             if let Some(owner) = owners.insert(key, tenant) {
                 let message = match owner.name == tenant.name {
@@ -249,8 +249,19 @@
             }
         }
     }
-    if draft.tenants.is_empty() && draft.routes.iter().any(|route| !route.anonymous) {
-        report.warn("tenants", "there are none, so every route is open to callers without a key");
+    if draft.routes.iter().all(|route| route.anonymous) {
+        return;
+    }
+    match &draft.tenants {
+        None => report.warn(
+            "tenants",
+            "there is no list, so every route is open to callers without a key and closed to those with one",
+        ),
+        Some(tenants) if tenants.is_empty() && !draft.unreadable.tenants => report.warn(
+            "tenants",
+            "the list is empty, so routes that aren't anonymous are closed to all callers",
+        ),
+        Some(_) => {}
     }
 }
 
