Clear an unreadable order that was removed

Cause: a removed order stayed listed as unreadable, so that the gauge never came back to 0.

Change: the removal of an order is read as such; it takes nothing back.

Evidence: unreadable_order_ends_rollout checks the gauge and passes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -309,6 +309,9 @@
                 node.rollout_declared.notify_one();
             }
         }
+        Declaration::RolloutRemoved { service } => {
+            node.unreadable.borrow_mut().clear(Kind::Rollout, &service);
+        }
         Declaration::Evacuation { domain } => begin_evacuation(node, domain),
         Declaration::EvacuationEnd { domain } => {
             let is_ended = node.roster.borrow_mut().evacuations.end(&domain);
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -62,6 +62,10 @@
         revision: Version,
         reason: String,
     },
+    /// The order of a roll-out was removed, which takes nothing back.
+    RolloutRemoved {
+        service: Arc<str>,
+    },
     /// Nothing more is sent to the endpoints of a failure domain.
     Evacuation {
         domain: Arc<str>,
