Keep the quotas of tenants that can't be read

Cause: a version in which a tenant's entry can't be read dropped the window of its quota. A corrected version within the window gave it a second one.

Change: windows of tenants that aren't listed are kept while some can't be read. A node that started meanwhile takes the quota of a tenant that appears for used, as after a start.

Evidence: without the change unreadable_tenant_keeps_window has 1,848,000 units in a window, 1,130,000 allowed; it passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -338,7 +338,12 @@
     let rules = rules.filter_map(|it| Some((it.name.clone(), it.cold?))).collect();
     let excess = node.settings.bounds.cold;
     node.roster.borrow_mut().stated.cold.configure(rules, excess, clock::now());
-    node.quotas.borrow_mut().configure(&catalog.tenants, clock::now());
+    let mut quotas = node.quotas.borrow_mut();
+    match catalog.unreadable.tenants {
+        true => quotas.configure_partly(&catalog.tenants, clock::now()),
+        false => quotas.configure(&catalog.tenants, clock::now()),
+    }
+    drop(quotas);
     for Problem { entry, reason } in &catalog.unreadable.problems {
         log::error!(
             "follow: event=unreadable_entry version={version} entry=\"{entry}\" reason=\"{reason}\""
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -219,6 +219,9 @@
     /// start.
     learns_until: Duration,
     is_configured: bool,
+    /// Whether the last version had tenants that can't be read, and this node may not know what others admitted.
+    has_unknown_tenants: bool,
+    is_first_start: bool,
 }
 
 impl Quotas {
@@ -233,6 +236,8 @@
             is_missing_history: !is_first_start,
             learns_until: Duration::ZERO,
             is_configured: false,
+            has_unknown_tenants: false,
+            is_first_start,
         }
     }
 
@@ -402,15 +407,30 @@
 
     /// Applies the quotas of a new catalog; units admitted before still count.
     pub fn configure(&mut self, tenants: &[Arc<catalog::Tenant>], now: Duration) {
-        let is_seed_needed = self.is_missing_history && !self.is_configured;
+        self.windows.retain(|name, _| tenants.iter().any(|tenant| tenant.name == *name));
+        self.set_quotas(tenants, now);
+        self.has_unknown_tenants = false;
+    }
+
+    /// Sets the quotas of a version in which some tenants can't be read: the windows of others are kept, since the
+    /// tenants that they are of may be among them.
+    pub fn configure_partly(&mut self, tenants: &[Arc<catalog::Tenant>], now: Duration) {
+        self.set_quotas(tenants, now);
+        self.has_unknown_tenants = !self.is_first_start;
+    }
+
+    fn set_quotas(&mut self, tenants: &[Arc<catalog::Tenant>], now: Duration) {
+        // The use of a tenant that could not be read before is as unknown as after a start.
+        let is_history_unknown = self.is_missing_history && !self.is_configured;
+        let is_seed_needed = is_history_unknown || self.has_unknown_tenants;
         self.is_configured = true;
         let length = self.length;
-        self.windows.retain(|name, _| tenants.iter().any(|tenant| tenant.name == *name));
         for tenant in tenants {
             let Some(quota) = tenant.quota else {
                 self.windows.remove(&tenant.name);
                 continue;
             };
+            let is_new = !self.windows.contains_key(&tenant.name);
             let window = self.windows.entry(tenant.name.clone()).or_insert_with(|| Window {
                 quota,
                 entries: Entries::new(),
@@ -427,7 +447,7 @@
                 peer_totals: HashMap::new(),
             });
             window.quota = quota;
-            if is_seed_needed {
+            if is_new && is_seed_needed {
                 window.set_restored(spread(window.limit(length), length, now));
             }
         }
--- a/tests/quota_window.rs
+++ b/tests/quota_window.rs
@@ -67,6 +67,26 @@
     assert_eq!(quotas.admit("a", 400_000, now), Ok(()));
 }
 
+/// Guards against a second full window for a tenant whose entry could not be read meanwhile, at a node that knows what
+/// was admitted and at one that started in between.
+#[test]
+fn unreadable_tenant_keeps_window() {
+    let at = Duration::from_millis;
+    let mut quotas = new_quotas(true, at(100_000));
+    let mut admitted = overload(&mut quotas, 100_000, 104_000);
+    quotas.configure_partly(&[], at(104_000));
+    quotas.configure(&tenants(), at(105_000));
+    admitted.extend(overload(&mut quotas, 105_000, 112_000));
+    let max_sum = max_window_sum(&admitted);
+    assert!((max_sum as f64) < BOUND, "{max_sum} units in a window, {BOUND} allowed");
+
+    let mut started = Quotas::new(WINDOW, false);
+    started.configure_partly(&[], at(104_000));
+    started.adopt_profiles(Duration::from_secs(60), &[], at(104_500));
+    started.configure(&tenants(), at(105_000));
+    assert!(started.admit("a", 400_000, at(105_000)).is_err(), "its use is not known");
+}
+
 /// Guards against refusing the burst that a quota allows: the limit of a window is nine seconds of the
 /// rate.
 #[test]
