Wait for the use of quotas after a late first catalog

Cause: a node that starts is not ready for up to 1.5 s while it doesn't know how much of the quotas was used, counted from its start. Here the first catalog came later, so that it was ready at once, and a peer's heartbeat told it the use up to half a second later.

Change: the 1.5 s count from the first catalog if that comes after they would have ended. Other starts are as before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -353,6 +353,8 @@
     if let Some(reason) = reason {
         log::error!("follow: event=nothing_served version={version} reason=\"{reason}\"");
     }
+    let first_at = node.first_catalog_at.get().or(Some(clock::now()));
+    node.first_catalog_at.set(first_at);
     *node.catalog.borrow_mut() = Some(Arc::from(catalog));
     node.wake_all();
     log::info!("follow: event=catalog version={version} before={before:?}");
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -34,7 +34,7 @@
 use crate::platform::Row;
 
 /// Longest time after a start for which the node stays unready while it doesn't know how much of
-/// their quotas the tenants have used.
+/// their quotas the tenants have used; after the first catalog if there was none that it could read for as long.
 const QUOTA_RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Age from which a peer's word on its catalog counts no more: the peer may be gone.
@@ -102,6 +102,8 @@
     /// milliseconds.
     pub incarnation: u64,
     pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Time at which this node had its first catalog.
+    pub first_catalog_at: Cell<Option<Duration>>,
     /// Set while the newest catalog can't be read at all: the one that this node has is no longer in force.
     pub is_catalog_unreadable: Cell<bool>,
     pub unreadable: RefCell<unreadable::Rows>,
@@ -189,6 +191,7 @@
             platform,
             header_codec,
             catalog: RefCell::default(),
+            first_catalog_at: Cell::default(),
             is_catalog_unreadable: Cell::default(),
             unreadable: RefCell::default(),
             declarations_read_at: Cell::default(),
@@ -306,7 +309,9 @@
         let now = clock::now();
         let catalog = self.catalog.borrow();
         let blockade = catalog.as_ref().and_then(|catalog| catalog.blockade());
-        let is_recovering = now.saturating_sub(self.started_at) < QUOTA_RECOVERY_TIMEOUT;
+        let is_late = |at: &Duration| at.saturating_sub(self.started_at) > QUOTA_RECOVERY_TIMEOUT;
+        let start = self.first_catalog_at.get().filter(is_late).unwrap_or(self.started_at);
+        let is_recovering = now.saturating_sub(start) < QUOTA_RECOVERY_TIMEOUT;
         if self.stopping.get() {
             Some("the process is stopping")
         } else if self.is_catalog_unreadable.get() {
